--- /dev/null
+++ b/src/admission/types/admissiondecision.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace clementinesill::admission {
+
+enum class AdmissionReason {
+    Admitted,
+    Draining,
+    ZoneOut,
+    ConnectionLimit,
+    SlotLimit,
+    WarmupLimit,
+    QueueTooLong,
+    ServerUnhealthy,
+};
+
+// Whether something was admitted, why, and when a caller who was refused may come back.
+struct AdmissionDecision {
+    AdmissionReason reason = AdmissionReason::Admitted;
+    std::chrono::milliseconds retryAfter { 0 };
+
+    bool admitted() const { return reason == AdmissionReason::Admitted; }
+};
+
+enum class RequestEnd {
+    Answered,
+    // The backend server refused it: 503, 429, refused connection.
+    Shed,
+    Failed,
+    TimedOut,
+    // The caller went away.
+    Cancelled,
+};
+
+// What a finished request tells about its backend server.
+struct RequestResult {
+    RequestEnd end = RequestEnd::Answered;
+    // From handing over the request to the start of the answer.
+    std::chrono::nanoseconds latency { 0 };
+};
+
+// What a backend server carries now.
+struct AdmissionLoad {
+    std::uint32_t flows = 0;
+    std::uint32_t requests = 0;
+    std::uint32_t queued = 0;
+    // Requests admitted at once at most.
+    std::uint32_t limit = 0;
+};
+
+} // namespace clementinesill::admission
--- /dev/null
+++ b/src/fleet/fleettable.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "fleet/types/serviceentry.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace clementinesill::schema {
+class Table;
+}
+
+namespace clementinesill::fleet {
+
+// Immutable view of one version of the fleet's table, indexed for look-ups.
+class FleetTable {
+public:
+    FleetTable() = default;
+
+    // Throws Error (Malformed) if a record cannot be read.
+    explicit FleetTable(const schema::Table& table);
+
+    std::uint64_t version() const { return m_version; }
+    std::uint64_t hashSeed() const { return m_hashSeed; }
+
+    // Null if no service has the address.
+    const ServiceEntry* service(const Endpoint& endpoint, TransportProtocol protocol) const;
+    const ServiceEntry* service(std::uint32_t id) const;
+    const ServiceEntry* service(const std::string& name) const;
+    const ServerEntry* server(std::uint32_t id) const;
+    bool zoneOut(const std::string& zone) const;
+
+    const std::vector<ServiceEntry>& services() const { return m_services; }
+
+private:
+    std::uint64_t m_version = 0;
+    std::uint64_t m_hashSeed = 0;
+    std::vector<ServiceEntry> m_services;
+    std::unordered_map<std::uint64_t, std::size_t> m_byEndpoint;
+    std::unordered_map<std::uint32_t, std::size_t> m_byId;
+    std::unordered_map<std::uint32_t, std::pair<std::size_t, std::size_t>> m_servers;
+    std::map<std::string, bool> m_zonesOut;
+};
+
+} // namespace clementinesill::fleet
--- /dev/null
+++ b/src/fleet/internal/fleettable.cpp
@@ -0,0 +1,99 @@
+#include "fleet/fleettable.h"
+
+#include "fleet.pb.h"
+#include "foundation/error.h"
+
+#include <algorithm>
+
+namespace clementinesill::fleet {
+
+namespace {
+
+std::uint64_t endpointKey(const Endpoint& endpoint, TransportProtocol protocol)
+{
+    return (static_cast<std::uint64_t>(endpoint.address) << 32) | (static_cast<std::uint64_t>(endpoint.port) << 16) | static_cast<std::uint64_t>(protocol);
+}
+
+ServiceEntry serviceEntry(const schema::Service& record)
+{
+    return {
+        .id = record.id(),
+        .name = record.name(),
+        .endpoint = { .address = parseAddress(record.address()), .port = static_cast<std::uint16_t>(record.port()) },
+        .protocol = record.protocol() == schema::PROTOCOL_UDP ? TransportProtocol::Udp : TransportProtocol::Tcp,
+        .mode = record.mode() == schema::SERVICE_MODE_HTTP ? ServiceMode::Http : ServiceMode::Stream,
+        .proxyProtocol = record.proxy_protocol(),
+        .idleTimeout = std::chrono::seconds(record.idle_timeout_seconds()),
+        .requestTimeout = std::chrono::milliseconds(record.request_timeout_ms()),
+        .servers = {},
+    };
+}
+
+} // namespace
+
+FleetTable::FleetTable(const schema::Table& table)
+    : m_version(table.version())
+    , m_hashSeed(table.hash_seed())
+{
+    for (const auto& zone : table.zones())
+        m_zonesOut[zone.name()] = zone.state() == schema::ZONE_STATE_OUT;
+    for (const auto& record : table.services()) {
+        m_byId[record.id()] = m_services.size();
+        m_services.push_back(serviceEntry(record));
+        m_byEndpoint[endpointKey(m_services.back().endpoint, m_services.back().protocol)] = m_services.size() - 1;
+    }
+    for (const auto& record : table.servers()) {
+        const auto found = m_byId.find(record.service_id());
+        if (found == m_byId.end())
+            throw Error(ErrorKind::Malformed, "server " + std::to_string(record.id()) + " belongs to no service of the table", "report this; the daemon keeps the table it has");
+        m_services[found->second].servers.push_back({
+            .id = record.id(),
+            .incarnation = record.incarnation(),
+            .serviceId = record.service_id(),
+            .agent = parseEndpoint(record.agent_endpoint()),
+            .weight = std::max(1U, record.weight()),
+            .draining = record.state() == schema::SERVER_STATE_DRAINING,
+            .zoneOut = zoneOut(record.zone()),
+            .zone = record.zone(),
+            .name = record.name(),
+        });
+    }
+    for (std::size_t index = 0; index < m_services.size(); ++index) {
+        auto& servers = m_services[index].servers;
+        std::sort(servers.begin(), servers.end(), [](const auto& left, const auto& right) { return left.id < right.id; });
+        for (std::size_t position = 0; position < servers.size(); ++position)
+            m_servers[servers[position].id] = { index, position };
+    }
+}
+
+const ServiceEntry* FleetTable::service(const Endpoint& endpoint, TransportProtocol protocol) const
+{
+    const auto found = m_byEndpoint.find(endpointKey(endpoint, protocol));
+    return found == m_byEndpoint.end() ? nullptr : &m_services[found->second];
+}
+
+const ServiceEntry* FleetTable::service(std::uint32_t id) const
+{
+    const auto found = m_byId.find(id);
+    return found == m_byId.end() ? nullptr : &m_services[found->second];
+}
+
+const ServiceEntry* FleetTable::service(const std::string& name) const
+{
+    const auto found = std::find_if(m_services.begin(), m_services.end(), [&](const auto& entry) { return entry.name == name; });
+    return found == m_services.end() ? nullptr : &*found;
+}
+
+const ServerEntry* FleetTable::server(std::uint32_t id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &m_services[found->second.first].servers[found->second.second];
+}
+
+bool FleetTable::zoneOut(const std::string& zone) const
+{
+    const auto found = m_zonesOut.find(zone);
+    return found != m_zonesOut.end() && found->second;
+}
+
+} // namespace clementinesill::fleet
--- /dev/null
+++ b/src/fleet/internal/serverrank.cpp
@@ -0,0 +1,40 @@
+#include "fleet/serverrank.h"
+
+#include "foundation/hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace clementinesill::fleet {
+
+double rendezvousScore(std::uint64_t flowHash, const ServerEntry& server)
+{
+    constexpr double scale = 0x1p-53;
+    const auto bits = hash64(server.id, flowHash) >> 11;
+    const double uniform = (static_cast<double>(bits) + 0.5) * scale;
+    return -static_cast<double>(server.weight) / std::log(uniform);
+}
+
+std::size_t rankServers(std::uint64_t flowHash, std::span<const ServerEntry> servers, std::span<std::uint16_t> ranked)
+{
+    constexpr std::size_t maximumRanked = 64;
+    double scores[maximumRanked];
+    const auto wanted = std::min({ ranked.size(), servers.size(), maximumRanked });
+    std::size_t count = 0;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        const double score = rendezvousScore(flowHash, servers[index]);
+        if (count == wanted && (!count || score <= scores[count - 1]))
+            continue;
+        auto place = count < wanted ? count++ : count - 1;
+        while (place && scores[place - 1] < score) {
+            scores[place] = scores[place - 1];
+            ranked[place] = ranked[place - 1];
+            --place;
+        }
+        scores[place] = score;
+        ranked[place] = static_cast<std::uint16_t>(index);
+    }
+    return count;
+}
+
+} // namespace clementinesill::fleet
--- /dev/null
+++ b/src/fleet/itablesource.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+namespace clementinesill::fleet {
+
+class FleetTable;
+
+// Where the newest table a daemon holds is read from. Thread-safe.
+class ITableSource {
+public:
+    virtual ~ITableSource() = default;
+
+    // Never null; version 0 until a table has arrived.
+    virtual std::shared_ptr<const FleetTable> table() const = 0;
+
+    // Tells that a peer's packet carried a newer version than the one held.
+    virtual void noteNewerVersion(std::uint64_t version) = 0;
+};
+
+} // namespace clementinesill::fleet
--- /dev/null
+++ b/src/fleet/tableholder.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "fleet/itablesource.h"
+
+#include <atomic>
+
+namespace clementinesill::fleet {
+
+// Holds the newest table and never goes back to an older version. Thread-safe.
+class TableHolder final : public ITableSource {
+public:
+    TableHolder();
+    ~TableHolder() override;
+
+    // False if the table is not newer than the one held, which then stays.
+    bool offer(const std::shared_ptr<const FleetTable>& table);
+
+    std::shared_ptr<const FleetTable> table() const override;
+    void noteNewerVersion(std::uint64_t version) override;
+
+    // Highest version heard of, from controllers or peers.
+    std::uint64_t highestVersionSeen() const { return m_highestSeen.load(); }
+
+private:
+    std::atomic<std::shared_ptr<const FleetTable>> m_table;
+    std::atomic<std::uint64_t> m_highestSeen { 0 };
+};
+
+} // namespace clementinesill::fleet
--- /dev/null
+++ b/src/fleet/tests/serverrank.cpp
@@ -0,0 +1,39 @@
+#include "fleet/serverrank.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace clementinesill::fleet;
+
+// clang-format off
+TEST_GROUP(ServerRank) {};
+// clang-format on
+
+TEST(ServerRank, OrderIsTheSameWithoutAServer)
+{
+    CHECK(rc::check("removing a server keeps the order of the others", [](std::uint64_t flowHash) {
+        const auto count = *rc::gen::inRange<std::size_t>(2, 32);
+        std::vector<ServerEntry> servers(count);
+        for (std::size_t index = 0; index < count; ++index) {
+            servers[index].id = static_cast<std::uint32_t>(index + 1);
+            servers[index].weight = *rc::gen::inRange<std::uint32_t>(1, 10);
+        }
+        std::vector<std::uint16_t> all(count);
+        RC_ASSERT(rankServers(flowHash, servers, all) == count);
+        const auto removed = *rc::gen::inRange<std::size_t>(0, count);
+        std::vector<std::uint32_t> expected;
+        for (const auto index : all) {
+            if (index != removed)
+                expected.push_back(servers[index].id);
+        }
+        servers.erase(servers.begin() + static_cast<std::ptrdiff_t>(removed));
+        std::vector<std::uint16_t> fewer(servers.size());
+        rankServers(flowHash, servers, fewer);
+        std::vector<std::uint32_t> actual;
+        for (const auto index : fewer)
+            actual.push_back(servers[index].id);
+        RC_ASSERT(actual == expected);
+    }));
+}
--- /dev/null
+++ b/src/fleet/types/serverentry.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "foundation/types/endpoint.h"
+
+#include <cstdint>
+#include <string>
+
+namespace clementinesill::fleet {
+
+// A backend server as every daemon knows it.
+struct ServerEntry {
+    std::uint32_t id = 0;
+    std::uint32_t incarnation = 0;
+    std::uint32_t serviceId = 0;
+    Endpoint agent;
+    std::uint32_t weight = 1;
+    bool draining = false;
+    bool zoneOut = false;
+    std::string zone;
+    std::string name;
+
+    // Whether new flows may go to it.
+    bool accepting() const { return !draining && !zoneOut; }
+};
+
+} // namespace clementinesill::fleet
--- /dev/null
+++ b/src/framework/foundation/irolemodule.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace clementinesill {
+
+// A role of the daemon: wires its services, starts them, and stops them gracefully.
+class IRoleModule {
+public:
+    virtual ~IRoleModule() = default;
+
+    // Returns once the role serves. Throws Error if it cannot.
+    virtual void start() = 0;
+
+    // Drains: finishes what is in progress, takes nothing new, then returns.
+    virtual void stop() = 0;
+};
+
+} // namespace clementinesill
--- /dev/null
+++ b/src/framework/testing/manualclock.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "foundation/iclock.h"
+
+namespace clementinesill {
+
+// Clock that stands still until a test moves it.
+class ManualClock final : public IClock {
+public:
+    MonotonicTime now() const override { return m_now; }
+
+    void advance(Duration duration) { m_now += duration; }
+
+private:
+    MonotonicTime m_now { std::chrono::hours(1) };
+};
+
+} // namespace clementinesill
--- /dev/null
+++ b/src/standins/servermain.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
