Carry flows from fabric to backend server, thin

Cause: no packet moved yet. The balancer takes Geneve from the fabric, ranks, and forwards; the agent holds the flow table, ends the caller's TCP with lwIP, relays to its server, passes a miss on along the rank order and resets what nobody holds. Ruled out: a balancer cache entry for every flow; rank order finds most flows, so the cache holds only what agents report elsewhere. Before: roles were stubs.

--- /dev/null
+++ b/src/agent/internal/packetpath.cpp
@@ -0,0 +1,158 @@
+#include "agent/internal/packetpath.h"
+
+#include "agent/iflowrouter.h"
+#include "agent/iflowtable.h"
+#include "agent/resetpacket.h"
+#include "dataplane/genevecodec.h"
+#include "dataplane/packetparser.h"
+#include "dataplane/types/genevemessage.h"
+#include "dataplane/types/packetview.h"
+#include "fleet/fleettable.h"
+#include "fleet/itablesource.h"
+#include "net/udpsocket.h"
+#include "tcpstack/itcpstack.h"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace clementinesill::agent {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t maximumDatagramBytes = 9216;
+// Datagrams read before other tasks of the loop run again.
+constexpr int datagramsPerTurn = 64;
+constexpr std::uint8_t maximumHops = 30;
+
+// Caller and service as the flow table knows them, from a packet that goes the other way.
+fleet::FlowKey reversed(const fleet::FlowKey& key)
+{
+    return { .caller = key.service, .service = key.caller, .protocol = key.protocol };
+}
+
+} // namespace
+
+PacketPath::PacketPath(asio::io_context& loop, const PacketPathOptions& options)
+    : m_options(options)
+    , m_socket(loop, net::openUdpSocket({ .endpoint = options.endpoint, .nonBlocking = true }))
+    , m_buffer(maximumDatagramBytes)
+    , m_sent(options.metrics.counter("agent_packets_sent_total"))
+{
+}
+
+asio::awaitable<void> PacketPath::run(tcpstack::ITcpStack& stack)
+{
+    while (true) {
+        co_await m_socket.async_wait(asio::posix::stream_descriptor::wait_read, asio::use_awaitable);
+        drainSocket(stack);
+    }
+}
+
+void PacketPath::drainSocket(tcpstack::ITcpStack& stack)
+{
+    for (int turn = 0; turn < datagramsPerTurn; ++turn) {
+        const auto length = recv(m_socket.native_handle(), m_buffer.data(), m_buffer.size(), 0);
+        if (length < 0)
+            return;
+        handle(std::span(m_buffer).first(static_cast<std::size_t>(length)), stack);
+    }
+}
+
+void PacketPath::handle(std::span<const std::byte> datagram, tcpstack::ITcpStack& stack)
+{
+    dataplane::GeneveMessage message;
+    auto error = dataplane::decodeGeneve(datagram, message);
+    dataplane::PacketView packet;
+    if (error == dataplane::PacketError::None)
+        error = dataplane::parsePacket(message.payload, packet);
+    if (error != dataplane::PacketError::None) {
+        ++m_options.metrics.counter("agent_malformed_total", { { "error", std::string(name(error)) } });
+        return;
+    }
+    const auto table = m_options.tables.table();
+    if (message.route && message.route->tableVersion > table->version())
+        m_options.tables.noteNewerVersion(message.route->tableVersion);
+    const auto decision = m_options.router.decide(message, packet, *table);
+    ++m_options.metrics.counter("agent_packets_total", { { "reason", std::string(name(decision.reason)) } });
+    carryOut(decision, message, packet, stack);
+}
+
+void PacketPath::carryOut(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet, tcpstack::ITcpStack& stack)
+{
+    switch (decision.action) {
+    case FlowAction::Deliver:
+    case FlowAction::Open:
+        if (message.route->flags & dataplane::Route::passedOn)
+            tellBalancer(message, packet);
+        stack.input(packet.bytes);
+        return;
+    case FlowAction::PassOn:
+        passOn(decision, message, packet);
+        return;
+    case FlowAction::Reset:
+        send({}, resetPacket(packet), message.route->ingress);
+        return;
+    case FlowAction::Drop:
+        return;
+    }
+}
+
+void PacketPath::passOn(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet)
+{
+    auto& route = *message.route;
+    if (route.hops >= maximumHops) {
+        ++m_options.metrics.counter("agent_packets_total", { { "reason", std::string(name(FlowReason::TooManyHops)) } });
+        return;
+    }
+    message.visited.push_back(m_options.identity.serverId);
+    route.serverId = decision.nextServerId;
+    route.incarnation = decision.nextIncarnation;
+    route.flags |= dataplane::Route::passedOn;
+    ++route.hops;
+    send(message, packet.bytes, decision.nextAgent);
+}
+
+void PacketPath::tellBalancer(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet)
+{
+    dataplane::GeneveMessage hint;
+    hint.serviceId = message.serviceId;
+    hint.control = true;
+    hint.holder = dataplane::Holder { .key = packet.key, .serverId = m_options.identity.serverId, .incarnation = m_options.identity.incarnation };
+    send(hint, {}, message.route->balancer);
+}
+
+void PacketPath::sendPacket(std::span<const std::byte> packet)
+{
+    dataplane::PacketView view;
+    if (dataplane::parsePacket(packet, view) != dataplane::PacketError::None)
+        return;
+    auto* entry = m_options.flows.find(reversed(view.key));
+    if (!entry)
+        return;
+    constexpr auto synAck = dataplane::TcpFlags::syn | dataplane::TcpFlags::ack;
+    if (entry->state == FlowState::HalfOpen && (view.tcpFlags & synAck) == synAck) {
+        entry->ownSequence = view.sequence;
+        entry->synAckSent = true;
+    }
+    send({}, packet, entry->ingress);
+}
+
+void PacketPath::send(const dataplane::GeneveMessage& message, std::span<const std::byte> packet, const Endpoint& target)
+{
+    std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
+    const auto headerBytes = dataplane::encodeGeneveHeader(message, header);
+    std::array<iovec, 2> parts { iovec { .iov_base = header.data(), .iov_len = headerBytes }, iovec { .iov_base = const_cast<std::byte*>(packet.data()), .iov_len = packet.size() } };
+    sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(target.port), .sin_addr = { htonl(target.address) }, .sin_zero = {} };
+    msghdr datagram {};
+    datagram.msg_name = &address;
+    datagram.msg_namelen = sizeof(address);
+    datagram.msg_iov = parts.data();
+    datagram.msg_iovlen = parts.size();
+    if (sendmsg(m_socket.native_handle(), &datagram, 0) >= 0)
+        ++m_sent;
+}
+
+} // namespace clementinesill::agent
--- /dev/null
+++ b/src/agent/internal/packetpath.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "agent/types/serveridentity.h"
+#include "foundation/metrics.h"
+#include "tcpstack/ipacketsink.h"
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <vector>
+
+namespace clementinesill::dataplane {
+struct GeneveMessage;
+struct PacketView;
+} // namespace clementinesill::dataplane
+
+namespace clementinesill::fleet {
+class ITableSource;
+}
+
+namespace clementinesill::tcpstack {
+class ITcpStack;
+}
+
+namespace clementinesill::agent {
+
+class IFlowRouter;
+class IFlowTable;
+struct FlowDecision;
+
+// What the packet path works with. The references must outlive it.
+struct PacketPathOptions {
+    Endpoint endpoint;
+    ServerIdentity identity;
+    IFlowRouter& router;
+    IFlowTable& flows;
+    fleet::ITableSource& tables;
+    MetricsRegistry& metrics;
+};
+
+// Takes the agent's datagrams from its socket, carries out what the router decides, and sends the stack's packets out.
+class PacketPath final : public tcpstack::IPacketSink {
+public:
+    // Binds the socket. Throws Error (AddressInUse or Network).
+    PacketPath(boost::asio::io_context& loop, const PacketPathOptions& options);
+
+    // Reads datagrams until the loop ends.
+    boost::asio::awaitable<void> run(tcpstack::ITcpStack& stack);
+
+    void sendPacket(std::span<const std::byte> packet) override;
+
+private:
+    void drainSocket(tcpstack::ITcpStack& stack);
+    void handle(std::span<const std::byte> datagram, tcpstack::ITcpStack& stack);
+    void carryOut(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet, tcpstack::ITcpStack& stack);
+    void passOn(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet);
+    void tellBalancer(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet);
+    void send(const dataplane::GeneveMessage& message, std::span<const std::byte> packet, const Endpoint& target);
+
+    PacketPathOptions m_options;
+    boost::asio::posix::stream_descriptor m_socket;
+    std::vector<std::byte> m_buffer;
+    Counter& m_sent;
+};
+
+} // namespace clementinesill::agent
--- /dev/null
+++ b/src/dataplane/internal/flowcache.cpp
@@ -0,0 +1,95 @@
+#include "dataplane/internal/flowcache.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace clementinesill::dataplane {
+
+// Spins: a set is held for a few dozen instructions.
+class FlowCache::SetLock {
+public:
+    explicit SetLock(Set& set)
+        : m_set(set)
+    {
+        while (m_set.locked.test_and_set(std::memory_order_acquire)) { }
+    }
+
+    ~SetLock() { m_set.locked.clear(std::memory_order_release); }
+    SetLock(const SetLock&) = delete;
+    SetLock& operator=(const SetLock&) = delete;
+
+private:
+    Set& m_set;
+};
+
+FlowCache::FlowCache(std::size_t entries)
+    : m_setCount(std::bit_ceil(std::max<std::size_t>(1, (entries + ways - 1) / ways)))
+    , m_sets(std::make_unique<Set[]>(m_setCount))
+{
+}
+
+FlowCache::~FlowCache() = default;
+
+FlowCache::Set& FlowCache::setOf(std::uint64_t flowHash)
+{
+    return m_sets[flowHash & (m_setCount - 1)];
+}
+
+std::size_t FlowCache::position(const Set& set, std::uint64_t flowHash)
+{
+    std::size_t index = 0;
+    while (index < set.used && set.entries[index].flowHash != flowHash)
+        ++index;
+    return index;
+}
+
+std::optional<CachedServer> FlowCache::find(std::uint64_t flowHash)
+{
+    auto& set = setOf(flowHash);
+    const SetLock lock(set);
+    const auto index = position(set, flowHash);
+    if (index == set.used)
+        return std::nullopt;
+    std::rotate(set.entries.begin(), set.entries.begin() + static_cast<std::ptrdiff_t>(index), set.entries.begin() + static_cast<std::ptrdiff_t>(index) + 1);
+    return set.entries[0].server;
+}
+
+void FlowCache::store(std::uint64_t flowHash, const CachedServer& server)
+{
+    auto& set = setOf(flowHash);
+    const SetLock lock(set);
+    auto index = position(set, flowHash);
+    if (index == set.used) {
+        if (set.used < ways)
+            ++set.used;
+        else
+            index = ways - 1;
+    }
+    const auto end = set.entries.begin() + static_cast<std::ptrdiff_t>(index) + 1;
+    std::rotate(set.entries.begin(), end - 1, end);
+    set.entries[0] = { .flowHash = flowHash, .server = server };
+}
+
+void FlowCache::erase(std::uint64_t flowHash)
+{
+    auto& set = setOf(flowHash);
+    const SetLock lock(set);
+    const auto index = position(set, flowHash);
+    if (index == set.used)
+        return;
+    const auto place = set.entries.begin() + static_cast<std::ptrdiff_t>(index);
+    std::rotate(place, place + 1, set.entries.begin() + set.used);
+    --set.used;
+}
+
+std::size_t FlowCache::capacity() const
+{
+    return m_setCount * ways;
+}
+
+std::size_t FlowCache::bytesPerEntry()
+{
+    return (sizeof(Set) + ways - 1) / ways;
+}
+
+} // namespace clementinesill::dataplane
--- /dev/null
+++ b/src/dataplane/internal/forwarder.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "dataplane/iforwarder.h"
+
+namespace clementinesill::fleet {
+struct ServerEntry;
+struct ServiceEntry;
+} // namespace clementinesill::fleet
+
+namespace clementinesill::dataplane {
+
+class IFlowCache;
+
+// Rank order corrected by the flow cache.
+class Forwarder final : public IForwarder {
+public:
+    // The cache must outlive the forwarder.
+    explicit Forwarder(IFlowCache& cache);
+
+    ForwardDecision forward(const PacketView& packet, const fleet::FleetTable& table) override;
+    void learn(const Holder& holder, const fleet::FleetTable& table) override;
+
+private:
+    ForwardDecision openFlow(const fleet::ServiceEntry& service, const fleet::FleetTable& table, std::uint64_t flowHash);
+    ForwardDecision continueFlow(const fleet::ServiceEntry& service, const fleet::FleetTable& table, std::uint64_t flowHash);
+    const fleet::ServerEntry* cached(const fleet::FleetTable& table, std::uint64_t flowHash);
+
+    IFlowCache& m_cache;
+};
+
+} // namespace clementinesill::dataplane
--- /dev/null
+++ b/src/dataplane/internal/genevecodec.cpp
@@ -0,0 +1,253 @@
+#include "dataplane/genevecodec.h"
+
+#include "dataplane/internal/packetheaders.h"
+#include "dataplane/types/genevemessage.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace clementinesill::dataplane {
+
+namespace {
+
+constexpr std::uint16_t ethernetTypeIpv4 = 0x0800;
+constexpr std::uint16_t optionClass = 0xff10;
+constexpr std::uint8_t criticalBit = 0x80;
+constexpr std::uint8_t controlFlag = 0x80;
+constexpr std::uint8_t criticalFlag = 0x40;
+constexpr std::size_t wordBytes = 4;
+constexpr std::size_t maximumOptionsBytes = 252;
+
+enum OptionType : std::uint8_t {
+    RouteOption = 0x81,
+    VisitedOption = 0x82,
+    CandidatesOption = 0x83,
+    HolderOption = 0x84,
+};
+
+bool readRoute(std::span<const std::byte> body, GeneveMessage& message)
+{
+    if (body.size() != sizeof(RouteFields))
+        return false;
+    const auto& fields = *reinterpret_cast<const RouteFields*>(body.data());
+    message.route = Route {
+        .tableVersion = fields.tableVersion.value(),
+        .serviceId = fields.serviceId.value(),
+        .serverId = fields.serverId.value(),
+        .incarnation = fields.incarnation.value(),
+        .balancer = { .address = fields.balancerAddress.value(), .port = fields.balancerPort.value() },
+        .ingress = { .address = fields.ingressAddress.value(), .port = fields.ingressPort.value() },
+        .hops = fields.hops.value(),
+        .flags = fields.flags.value(),
+    };
+    return true;
+}
+
+bool readVisited(std::span<const std::byte> body, GeneveMessage& message)
+{
+    if (body.size() > maximumVisited * wordBytes)
+        return false;
+    message.visited.clear();
+    for (std::size_t offset = 0; offset < body.size(); offset += wordBytes) {
+        const auto& id = *reinterpret_cast<const boost::endian::big_uint32_buf_t*>(body.data() + offset);
+        message.visited.push_back(id.value());
+    }
+    return true;
+}
+
+bool readCandidates(std::span<const std::byte> body, GeneveMessage& message)
+{
+    if (body.size() % sizeof(CandidateFields) || body.size() > maximumCandidates * sizeof(CandidateFields))
+        return false;
+    message.candidates.clear();
+    for (std::size_t offset = 0; offset < body.size(); offset += sizeof(CandidateFields)) {
+        const auto& fields = *reinterpret_cast<const CandidateFields*>(body.data() + offset);
+        message.candidates.push_back({
+            .serverId = fields.serverId.value(),
+            .incarnation = fields.incarnation.value(),
+            .agent = { .address = fields.agentAddress.value(), .port = fields.agentPort.value() },
+            .draining = fields.state.value() == 1,
+        });
+    }
+    return true;
+}
+
+bool readHolder(std::span<const std::byte> body, GeneveMessage& message)
+{
+    if (body.size() != sizeof(HolderFields))
+        return false;
+    const auto& fields = *reinterpret_cast<const HolderFields*>(body.data());
+    message.holder = Holder {
+        .key = {
+            .caller = { .address = fields.callerAddress.value(), .port = fields.callerPort.value() },
+            .service = { .address = fields.serviceAddress.value(), .port = fields.servicePort.value() },
+            .protocol = static_cast<fleet::TransportProtocol>(fields.protocol.value()),
+        },
+        .serverId = fields.serverId.value(),
+        .incarnation = fields.incarnation.value(),
+    };
+    return true;
+}
+
+PacketError readOption(const GeneveOptionHeader& header, std::span<const std::byte> body, GeneveMessage& message)
+{
+    const auto unknown = header.type.value() & criticalBit ? PacketError::UnknownCriticalOption : PacketError::None;
+    if (header.optionClass.value() != optionClass)
+        return unknown;
+    bool known = false;
+    switch (header.type.value()) {
+    case RouteOption:
+        known = readRoute(body, message);
+        break;
+    case VisitedOption:
+        known = readVisited(body, message);
+        break;
+    case CandidatesOption:
+        known = readCandidates(body, message);
+        break;
+    case HolderOption:
+        known = readHolder(body, message);
+        break;
+    default:
+        return unknown;
+    }
+    return known ? PacketError::None : PacketError::BadOptionLength;
+}
+
+PacketError readOptions(std::span<const std::byte> options, GeneveMessage& message)
+{
+    while (!options.empty()) {
+        if (options.size() < sizeof(GeneveOptionHeader))
+            return PacketError::BadOptionLength;
+        const auto& header = *reinterpret_cast<const GeneveOptionHeader*>(options.data());
+        const std::size_t bodyBytes = (header.length.value() & 0x1f) * wordBytes;
+        if (sizeof(GeneveOptionHeader) + bodyBytes > options.size())
+            return PacketError::BadOptionLength;
+        const auto error = readOption(header, options.subspan(sizeof(GeneveOptionHeader), bodyBytes), message);
+        if (error != PacketError::None)
+            return error;
+        options = options.subspan(sizeof(GeneveOptionHeader) + bodyBytes);
+    }
+    return PacketError::None;
+}
+
+// Appends one option and returns the place of its body.
+std::byte* appendOption(std::byte*& end, OptionType type, std::size_t bodyBytes)
+{
+    auto& header = *reinterpret_cast<GeneveOptionHeader*>(end);
+    header.optionClass = optionClass;
+    header.type = type;
+    header.length = static_cast<std::uint8_t>(bodyBytes / wordBytes);
+    auto* body = end + sizeof(GeneveOptionHeader);
+    end = body + bodyBytes;
+    return body;
+}
+
+void writeRoute(const Route& route, std::byte*& end)
+{
+    auto& fields = *reinterpret_cast<RouteFields*>(appendOption(end, RouteOption, sizeof(RouteFields)));
+    fields.tableVersion = route.tableVersion;
+    fields.serviceId = route.serviceId;
+    fields.serverId = route.serverId;
+    fields.incarnation = route.incarnation;
+    fields.balancerAddress = route.balancer.address;
+    fields.ingressAddress = route.ingress.address;
+    fields.balancerPort = route.balancer.port;
+    fields.ingressPort = route.ingress.port;
+    fields.hops = route.hops;
+    fields.flags = route.flags;
+    fields.reserved = std::uint16_t(0);
+}
+
+void writeHolder(const Holder& holder, std::byte*& end)
+{
+    auto& fields = *reinterpret_cast<HolderFields*>(appendOption(end, HolderOption, sizeof(HolderFields)));
+    fields.callerAddress = holder.key.caller.address;
+    fields.serviceAddress = holder.key.service.address;
+    fields.callerPort = holder.key.caller.port;
+    fields.servicePort = holder.key.service.port;
+    fields.protocol = static_cast<std::uint8_t>(holder.key.protocol);
+    fields.reserved = 0U;
+    fields.serverId = holder.serverId;
+    fields.incarnation = holder.incarnation;
+}
+
+// How many entries of the size fit behind one more option header.
+std::size_t fitting(std::size_t wanted, std::size_t entryBytes, std::size_t room)
+{
+    if (room < sizeof(GeneveOptionHeader) + entryBytes)
+        return 0;
+    return std::min(wanted, (room - sizeof(GeneveOptionHeader)) / entryBytes);
+}
+
+void writeVisited(std::span<const std::uint32_t> visited, std::byte*& end)
+{
+    auto* body = appendOption(end, VisitedOption, visited.size() * wordBytes);
+    for (const auto id : visited) {
+        *reinterpret_cast<boost::endian::big_uint32_buf_t*>(body) = id;
+        body += wordBytes;
+    }
+}
+
+void writeCandidates(std::span<const Candidate> candidates, std::byte*& end)
+{
+    auto* body = appendOption(end, CandidatesOption, candidates.size() * sizeof(CandidateFields));
+    for (const auto& candidate : candidates) {
+        auto& fields = *reinterpret_cast<CandidateFields*>(body);
+        fields.serverId = candidate.serverId;
+        fields.incarnation = candidate.incarnation;
+        fields.agentAddress = candidate.agent.address;
+        fields.agentPort = candidate.agent.port;
+        fields.state = static_cast<std::uint16_t>(candidate.draining);
+        body += sizeof(CandidateFields);
+    }
+}
+
+} // namespace
+
+PacketError decodeGeneve(std::span<const std::byte> datagram, GeneveMessage& message)
+{
+    if (datagram.size() < sizeof(GeneveHeader))
+        return PacketError::TooShort;
+    const auto& header = *reinterpret_cast<const GeneveHeader*>(datagram.data());
+    if (header.versionAndLength.value() >> 6)
+        return PacketError::BadGeneveVersion;
+    if (header.protocol.value() != ethernetTypeIpv4)
+        return PacketError::NotGeneve;
+    const std::size_t optionsBytes = (header.versionAndLength.value() & 0x3f) * wordBytes;
+    if (sizeof(GeneveHeader) + optionsBytes > datagram.size())
+        return PacketError::BadOptionLength;
+    message.serviceId = header.networkId.value();
+    message.control = header.flags.value() & controlFlag;
+    message.route.reset();
+    message.visited.clear();
+    message.candidates.clear();
+    message.holder.reset();
+    message.payload = datagram.subspan(sizeof(GeneveHeader) + optionsBytes);
+    return readOptions(datagram.subspan(sizeof(GeneveHeader), optionsBytes), message);
+}
+
+std::size_t encodeGeneveHeader(const GeneveMessage& message, std::span<std::byte> out)
+{
+    auto* const options = out.data() + sizeof(GeneveHeader);
+    auto* end = options;
+    if (message.route)
+        writeRoute(*message.route, end);
+    if (message.holder)
+        writeHolder(*message.holder, end);
+    const auto room = [&] { return maximumOptionsBytes - static_cast<std::size_t>(end - options); };
+    if (const auto count = fitting(message.visited.size(), wordBytes, room()))
+        writeVisited(std::span(message.visited).first(count), end);
+    if (const auto count = fitting(message.candidates.size(), sizeof(CandidateFields), room()))
+        writeCandidates(std::span(message.candidates).first(count), end);
+    const auto optionsBytes = static_cast<std::size_t>(end - options);
+    auto& header = *reinterpret_cast<GeneveHeader*>(out.data());
+    header.versionAndLength = static_cast<std::uint8_t>(optionsBytes / wordBytes);
+    header.flags = static_cast<std::uint8_t>((message.control ? controlFlag : 0) | (optionsBytes ? criticalFlag : 0));
+    header.protocol = ethernetTypeIpv4;
+    header.networkId = message.serviceId;
+    header.reserved = std::uint8_t(0);
+    return sizeof(GeneveHeader) + optionsBytes;
+}
+
+} // namespace clementinesill::dataplane
--- /dev/null
+++ b/src/dataplane/types/packeterror.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string_view>
+
+namespace clementinesill::dataplane {
+
+// Why a datagram or packet was not read. Each is counted.
+enum class PacketError {
+    None,
+    TooShort,
+    NotGeneve,
+    BadGeneveVersion,
+    BadOptionLength,
+    UnknownCriticalOption,
+    NotIpv4,
+    BadIpHeader,
+    Fragment,
+    UnknownProtocol,
+    BadTransportHeader,
+};
+
+// Name of the error as it stands in metrics.
+std::string_view name(PacketError error);
+
+} // namespace clementinesill::dataplane
--- /dev/null
+++ b/src/dataplane/types/route.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "foundation/types/endpoint.h"
+
+#include <cstdint>
+
+namespace clementinesill::dataplane {
+
+// Where a packet is headed and whom it came through; travels with it from the balancer on.
+struct Route {
+    static constexpr std::uint8_t opensFlow = 1;
+    static constexpr std::uint8_t fromCache = 2;
+    static constexpr std::uint8_t passedOn = 4;
+
+    std::uint64_t tableVersion = 0;
+    std::uint32_t serviceId = 0;
+    std::uint32_t serverId = 0;
+    std::uint32_t incarnation = 0;
+    // The balancer that took the packet from the fabric.
+    Endpoint balancer;
+    // Where answers to the caller go.
+    Endpoint ingress;
+    // Agents that passed the packet on.
+    std::uint8_t hops = 0;
+    std::uint8_t flags = 0;
+
+    bool operator==(const Route&) const = default;
+};
+
+} // namespace clementinesill::dataplane
--- /dev/null
+++ b/src/framework/net/internal/udpsocket.cpp
@@ -0,0 +1,53 @@
+#include "net/udpsocket.h"
+
+#include "foundation/error.h"
+
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace clementinesill::net {
+
+namespace {
+
+// Holds a burst while the reader is not scheduled; the kernel caps it at its own limit.
+constexpr int receiveBufferBytes = 8 * 1024 * 1024;
+
+[[noreturn]] void throwOpenError(const Endpoint& endpoint, int code)
+{
+    const auto problem = "cannot bind UDP " + format(endpoint) + ": " + std::strerror(code);
+    if (code == EADDRINUSE)
+        throw Error(ErrorKind::AddressInUse, problem, "stop the process that holds the address, or choose another");
+    throw Error(ErrorKind::Network, problem, "use an address of this VM");
+}
+
+void setOption(int socket, int option, int value)
+{
+    setsockopt(socket, SOL_SOCKET, option, &value, sizeof(value));
+}
+
+} // namespace
+
+int openUdpSocket(const UdpSocketOptions& options)
+{
+    const int type = SOCK_DGRAM | SOCK_CLOEXEC | (options.nonBlocking ? SOCK_NONBLOCK : 0);
+    const int socket = ::socket(AF_INET, type, 0);
+    if (socket < 0)
+        throwOpenError(options.endpoint, errno);
+    if (options.reusePort)
+        setOption(socket, SO_REUSEPORT, 1);
+    setOption(socket, SO_RCVBUF, receiveBufferBytes);
+    const timeval timeout { .tv_sec = options.receiveTimeout.count() / 1000, .tv_usec = (options.receiveTimeout.count() % 1000) * 1000 };
+    setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    const sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(options.endpoint.port), .sin_addr = { htonl(options.endpoint.address) }, .sin_zero = {} };
+    if (bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) < 0) {
+        const int code = errno;
+        close(socket);
+        throwOpenError(options.endpoint, code);
+    }
+    return socket;
+}
+
+} // namespace clementinesill::net
--- /dev/null
+++ b/src/framework/tcpstack/internal/lwipstack.cpp
@@ -0,0 +1,151 @@
+#include "tcpstack/internal/lwipstack.h"
+
+#include "foundation/error.h"
+#include "tcpstack/internal/lwip.h"
+#include "tcpstack/internal/lwipconnection.h"
+#include "tcpstack/ipacketsink.h"
+#include "tcpstack/lwipstack.h"
+
+#include <boost/asio/post.hpp>
+#include <mutex>
+#include <vector>
+
+namespace clementinesill::tcpstack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Room for the outer headers below a path of 1500 bytes.
+constexpr u16_t interfaceMtuBytes = 1400;
+
+void startLibrary()
+{
+    static std::once_flag started;
+    std::call_once(started, [] { tcpip_init(nullptr, nullptr); });
+}
+
+err_t interfaceOutput(netif* interface, pbuf* packet, const ip4_addr_t*)
+{
+    static_cast<LwipStack*>(interface->state)->output(packet);
+    return ERR_OK;
+}
+
+err_t interfaceStart(netif* interface)
+{
+    interface->name[0] = 'c';
+    interface->name[1] = 's';
+    interface->mtu = interfaceMtuBytes;
+    interface->output = interfaceOutput;
+    return ERR_OK;
+}
+
+err_t accepted(void* argument, tcp_pcb* pcb, err_t status)
+{
+    if (status != ERR_OK || !pcb)
+        return ERR_VAL;
+    static_cast<LwipStack*>(argument)->onAccepted(pcb);
+    return ERR_OK;
+}
+
+err_t connectionOpened(void* argument, tcp_pcb*, err_t)
+{
+    static_cast<LwipConnection*>(argument)->onConnected();
+    return ERR_OK;
+}
+
+ip_addr_t libraryAddress(std::uint32_t address)
+{
+    ip_addr_t result = IPADDR4_INIT(0);
+    ip4_addr_set_u32(ip_2_ip4(&result), lwip_htonl(address));
+    return result;
+}
+
+} // namespace
+
+LwipStack::LwipStack(std::uint32_t address, asio::io_context& loop, IPacketSink& sink)
+    : m_loop(loop)
+    , m_sink(sink)
+    , m_address(address)
+{
+    startLibrary();
+    const LwipLock lock;
+    const auto own = libraryAddress(address);
+    const auto mask = libraryAddress(UINT32_MAX);
+    const auto gateway = libraryAddress(0);
+    netif_add(&m_interface, ip_2_ip4(&own), ip_2_ip4(&mask), ip_2_ip4(&gateway), this, interfaceStart, ip_input);
+    netif_set_default(&m_interface);
+    netif_set_link_up(&m_interface);
+    netif_set_up(&m_interface);
+}
+
+void LwipStack::input(std::span<const std::byte> packet)
+{
+    const LwipLock lock;
+    auto* buffer = pbuf_alloc(PBUF_RAW, static_cast<u16_t>(packet.size()), PBUF_RAM);
+    if (!buffer)
+        return;
+    pbuf_take(buffer, packet.data(), static_cast<u16_t>(packet.size()));
+    if (ip_input(buffer, &m_interface) != ERR_OK)
+        pbuf_free(buffer);
+}
+
+void LwipStack::output(pbuf* packet)
+{
+    std::vector<std::byte> bytes(packet->tot_len);
+    pbuf_copy_partial(packet, bytes.data(), packet->tot_len, 0);
+    if (m_loop.get_executor().running_in_this_thread()) {
+        m_sink.sendPacket(bytes);
+        return;
+    }
+    asio::post(m_loop, [this, bytes = std::move(bytes)] { m_sink.sendPacket(bytes); });
+}
+
+void LwipStack::onAccepted(tcp_pcb* pcb)
+{
+    const Endpoint remote { .address = lwip_ntohl(ip4_addr_get_u32(ip_2_ip4(&pcb->remote_ip))), .port = pcb->remote_port };
+    auto connection = LwipConnection::adopt(m_loop, pcb, remote);
+    asio::post(m_loop, [this, connection] { m_accept(connection); });
+}
+
+void LwipStack::listen(std::uint16_t port, AcceptHandler handler)
+{
+    const LwipLock lock;
+    m_accept = std::move(handler);
+    const auto own = libraryAddress(m_address);
+    auto* pcb = tcp_new_ip_type(IPADDR_TYPE_V4);
+    if (tcp_bind(pcb, &own, port) != ERR_OK) {
+        tcp_abort(pcb);
+        throw Error(ErrorKind::AddressInUse, "port " + std::to_string(port) + " of the stack is in use", "listen once for each service");
+    }
+    pcb = tcp_listen_with_backlog(pcb, TCP_DEFAULT_LISTEN_BACKLOG);
+    tcp_arg(pcb, this);
+    tcp_accept(pcb, accepted);
+}
+
+asio::awaitable<std::shared_ptr<ITcpConnection>> LwipStack::connect(Endpoint remote)
+{
+    std::shared_ptr<LwipConnection> connection;
+    {
+        const LwipLock lock;
+        const auto target = libraryAddress(remote.address);
+        const auto own = libraryAddress(m_address);
+        auto* pcb = tcp_new_ip_type(IPADDR_TYPE_V4);
+        tcp_bind(pcb, &own, 0);
+        connection = LwipConnection::adopt(m_loop, pcb, remote);
+        if (tcp_connect(pcb, &target, remote.port, connectionOpened) != ERR_OK)
+            throw Error(ErrorKind::Network, "no local port is free", "close connections first");
+    }
+    co_await connection->connected();
+    co_return connection;
+}
+
+std::shared_ptr<ITcpStack> makeLwipStack(std::uint32_t address, asio::io_context& loop, IPacketSink& sink)
+{
+    // Never freed: the library's threads may call back until the process ends.
+    static std::shared_ptr<ITcpStack> stack;
+    stack = std::make_shared<LwipStack>(address, loop, sink);
+    return stack;
+}
+
+} // namespace clementinesill::tcpstack
--- a/src/standins/fabricmain.cpp
+++ b/src/standins/fabricmain.cpp
@@ -1,1 +1,131 @@
-int main() { return 0; }
+// Stand-in for the fabric: ends kernel TCP connections of real clients, opens each again in user space, and sprays its
+// packets over the balancers, one drawn at random for every packet.
+
+#include "dataplane/genevecodec.h"
+#include "dataplane/types/genevemessage.h"
+#include "foundation/error.h"
+#include "foundation/seededrandom.h"
+#include "net/relay.h"
+#include "net/socketstream.h"
+#include "net/udpsocket.h"
+#include "tcpstack/ipacketsink.h"
+#include "tcpstack/itcpconnection.h"
+#include "tcpstack/itcpstack.h"
+#include "tcpstack/lwipstack.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+using namespace clementinesill;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t maximumDatagramBytes = 9216;
+
+// Sends each packet to a balancer of its own choosing and takes the agents' answers.
+class Fabric final : public tcpstack::IPacketSink {
+public:
+    Fabric(asio::io_context& loop, const Endpoint& endpoint, std::vector<Endpoint> balancers, std::uint64_t seed)
+        : m_loop(loop)
+        , m_socket(loop, net::openUdpSocket({ .endpoint = endpoint, .nonBlocking = true }))
+        , m_balancers(std::move(balancers))
+        , m_random(seed)
+        , m_buffer(maximumDatagramBytes)
+    {
+    }
+
+    void sendPacket(std::span<const std::byte> packet) override
+    {
+        std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
+        const auto headerBytes = dataplane::encodeGeneveHeader({}, header);
+        const auto& target = m_balancers[m_random.below(m_balancers.size())];
+        std::array<iovec, 2> parts { iovec { .iov_base = header.data(), .iov_len = headerBytes }, iovec { .iov_base = const_cast<std::byte*>(packet.data()), .iov_len = packet.size() } };
+        sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(target.port), .sin_addr = { htonl(target.address) }, .sin_zero = {} };
+        msghdr datagram {};
+        datagram.msg_name = &address;
+        datagram.msg_namelen = sizeof(address);
+        datagram.msg_iov = parts.data();
+        datagram.msg_iovlen = parts.size();
+        sendmsg(m_socket.native_handle(), &datagram, 0);
+    }
+
+    asio::awaitable<void> run(tcpstack::ITcpStack& stack)
+    {
+        while (true) {
+            co_await m_socket.async_wait(asio::posix::stream_descriptor::wait_read, asio::use_awaitable);
+            const auto length = recv(m_socket.native_handle(), m_buffer.data(), m_buffer.size(), 0);
+            dataplane::GeneveMessage message;
+            if (length > 0 && dataplane::decodeGeneve(std::span(m_buffer).first(static_cast<std::size_t>(length)), message) == dataplane::PacketError::None)
+                stack.input(message.payload);
+        }
+    }
+
+private:
+    asio::io_context& m_loop;
+    asio::posix::stream_descriptor m_socket;
+    std::vector<Endpoint> m_balancers;
+    SeededRandom m_random;
+    std::vector<std::byte> m_buffer;
+};
+
+asio::awaitable<void> carry(asio::ip::tcp::socket socket, tcpstack::ITcpStack& stack, Endpoint service)
+{
+    net::SocketStream client(std::move(socket));
+    try {
+        const auto connection = co_await stack.connect(service);
+        co_await net::relay(client, *connection);
+        connection->close();
+    } catch (const Error& error) {
+        std::cerr << "fabric: " << error.what() << '\n';
+        client.abort();
+    }
+}
+
+asio::awaitable<void> acceptClients(asio::io_context& loop, tcpstack::ITcpStack& stack, Endpoint service)
+{
+    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(service.address), service.port);
+    asio::ip::tcp::acceptor acceptor(loop, endpoint);
+    while (true)
+        asio::co_spawn(loop, carry(co_await acceptor.async_accept(asio::use_awaitable), stack, service), asio::detached);
+}
+
+std::vector<Endpoint> endpoints(const std::vector<std::string>& texts)
+{
+    std::vector<Endpoint> result;
+    for (const auto& text : texts)
+        result.push_back(parseEndpoint(text));
+    return result;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("standin_fabric", "Sprays the packets of real clients over the balancers.");
+    options.add_options()("endpoint", "UDP address for answers", cxxopts::value<std::string>())("balancer", "balancers' data endpoints", cxxopts::value<std::vector<std::string>>())("service", "service addresses, which clients connect to", cxxopts::value<std::vector<std::string>>())("caller", "caller address inside the packets", cxxopts::value<std::string>()->default_value("127.9.0.1"))("seed", "seed of the choice of balancer", cxxopts::value<std::uint64_t>()->default_value("1"));
+    try {
+        const auto arguments = options.parse(argc, argv);
+        asio::io_context loop(1);
+        Fabric fabric(loop, parseEndpoint(arguments["endpoint"].as<std::string>()), endpoints(arguments["balancer"].as<std::vector<std::string>>()), arguments["seed"].as<std::uint64_t>());
+        const auto stack = tcpstack::makeLwipStack(parseAddress(arguments["caller"].as<std::string>()), loop, fabric);
+        asio::co_spawn(loop, fabric.run(*stack), asio::detached);
+        for (const auto& service : endpoints(arguments["service"].as<std::vector<std::string>>()))
+            asio::co_spawn(loop, acceptClients(loop, *stack, service), [](std::exception_ptr failure) { if (failure) std::rethrow_exception(failure); });
+        asio::signal_set signals(loop, SIGTERM, SIGINT);
+        signals.async_wait([&](const auto&, int) { std::quick_exit(0); });
+        loop.run();
+    } catch (const std::exception& error) {
+        std::cerr << "standin_fabric: " << error.what() << '\n';
+        return 1;
+    }
+}
