--- a/src/standins/fabricmain.cpp
+++ b/src/standins/fabricmain.cpp
@@ -22,6 +22,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <map>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -36,19 +37,20 @@
 class Fabric final : public tcpstack::IPacketSink {
 public:
     Fabric(asio::io_context& loop, const Endpoint& endpoint, std::vector<Endpoint> balancers, std::uint64_t seed)
-        : m_loop(loop)
-        , m_socket(loop, net::openUdpSocket({ .endpoint = endpoint, .nonBlocking = true }))
+        : m_socket(loop, net::openUdpSocket({ .endpoint = endpoint, .nonBlocking = true }))
         , m_balancers(std::move(balancers))
         , m_random(seed)
         , m_buffer(maximumDatagramBytes)
     {
+        const int on = 1;
+        setsockopt(m_socket.native_handle(), IPPROTO_IP, IP_RECVERR, &on, sizeof(on));
     }
 
     void sendPacket(std::span<const std::byte> packet) override
     {
         std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
         const auto headerBytes = dataplane::encodeGeneveHeader({}, header);
-        const auto& target = m_balancers[m_random.below(m_balancers.size())];
+        const auto target = chooseBalancer();
         std::array<iovec, 2> parts { iovec { .iov_base = header.data(), .iov_len = headerBytes }, iovec { .iov_base = const_cast<std::byte*>(packet.data()), .iov_len = packet.size() } };
         sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(target.port), .sin_addr = { htonl(target.address) }, .sin_zero = {} };
         msghdr datagram {};
@@ -63,6 +65,7 @@
     {
         while (true) {
             co_await m_socket.async_wait(asio::posix::stream_descriptor::wait_read, asio::use_awaitable);
+            readErrors();
             const auto length = recv(m_socket.native_handle(), m_buffer.data(), m_buffer.size(), 0);
             dataplane::GeneveMessage message;
             if (length > 0 && dataplane::decodeGeneve(std::span(m_buffer).first(static_cast<std::size_t>(length)), message) == dataplane::PacketError::None)
@@ -71,9 +74,39 @@
     }
 
 private:
-    asio::io_context& m_loop;
+    // A balancer that refused a packet is left alone for a moment, as a fabric's health check would do.
+    static constexpr std::chrono::seconds refusedPause { 1 };
+
+    Endpoint chooseBalancer()
+    {
+        readErrors();
+        const auto now = std::chrono::steady_clock::now();
+        std::vector<Endpoint> usable;
+        for (const auto& balancer : m_balancers) {
+            const auto refused = m_refused.find(balancer);
+            if (refused == m_refused.end() || now - refused->second >= refusedPause)
+                usable.push_back(balancer);
+        }
+        const auto& choice = usable.empty() ? m_balancers : usable;
+        return choice[m_random.below(choice.size())];
+    }
+
+    // The kernel queues an ICMP error with the address that the refused datagram was sent to.
+    void readErrors()
+    {
+        sockaddr_in target {};
+        msghdr error {};
+        error.msg_name = &target;
+        error.msg_namelen = sizeof(target);
+        while (recvmsg(m_socket.native_handle(), &error, MSG_ERRQUEUE) >= 0) {
+            m_refused[{ .address = ntohl(target.sin_addr.s_addr), .port = ntohs(target.sin_port) }] = std::chrono::steady_clock::now();
+            error.msg_namelen = sizeof(target);
+        }
+    }
+
     asio::posix::stream_descriptor m_socket;
     std::vector<Endpoint> m_balancers;
+    std::map<Endpoint, std::chrono::steady_clock::time_point> m_refused;
     SeededRandom m_random;
     std::vector<std::byte> m_buffer;
 };
--- a/src/standins/servermain.cpp
+++ b/src/standins/servermain.cpp
@@ -26,6 +26,7 @@
     std::string name;
     std::chrono::milliseconds workTime { 5 };
     std::chrono::milliseconds feedInterval { 200 };
+    int slots = 5;
     int running = 0;
     std::uint64_t orders = 0;
 };
@@ -36,10 +37,9 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-asio::awaitable<void> reply(tcp::socket& socket, const Request& request, const std::string& body)
+asio::awaitable<void> reply(tcp::socket& socket, const Request& request, const std::string& body, http::status status = http::status::ok)
 {
-    http::response<http::string_body> response(http::status::ok, request.version());
-    response.set("Server-Name", request["Host"]);
+    http::response<http::string_body> response(status, request.version());
     response.keep_alive(request.keep_alive());
     response.body() = body;
     response.prepare_payload();
@@ -68,6 +68,8 @@
         co_return co_await reply(socket, request, std::to_string(state.running) + "\n");
     if (request.target() == "/feed")
         co_return co_await feed(socket, state);
+    if (state.running >= state.slots)
+        co_return co_await reply(socket, request, "busy\n", http::status::service_unavailable);
     ++state.running;
     co_await sleepFor(state.workTime);
     --state.running;
@@ -105,10 +107,10 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("standin_server", "Stand-in for a backend server.");
-    options.add_options()("name", "name in every answer", cxxopts::value<std::string>())("port", "port on 127.0.0.1", cxxopts::value<std::uint16_t>())("work-ms", "time a request takes", cxxopts::value<int>()->default_value("5"));
+    options.add_options()("name", "name in every answer", cxxopts::value<std::string>())("port", "port on 127.0.0.1", cxxopts::value<std::uint16_t>())("work-ms", "time a request takes", cxxopts::value<int>()->default_value("5"))("slots", "requests it runs at once; more are shed", cxxopts::value<int>()->default_value("5"));
     try {
         const auto arguments = options.parse(argc, argv);
-        ServerState state { .name = arguments["name"].as<std::string>(), .workTime = std::chrono::milliseconds(arguments["work-ms"].as<int>()) };
+        ServerState state { .name = arguments["name"].as<std::string>(), .workTime = std::chrono::milliseconds(arguments["work-ms"].as<int>()), .slots = arguments["slots"].as<int>() };
         asio::io_context loop(1);
         tcp::acceptor acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), arguments["port"].as<std::uint16_t>()));
         asio::co_spawn(loop, acceptClients(acceptor, state), asio::detached);
