Admit flows and requests by slots, connections and a warm-up limit

Cause: the agent asks IAdmission for each flow and request; nothing answered. Ruled out: limits from health or load endpoints, which lag or mislead; they can only lower. A fixed start-up time: a server can turn cold without restart. Change: Admission counts; WarmupLimit grows by one per proven round and falls by half on shed, failed or timed out requests, and to the start on a latency step or three failures in a row. Before: no tests.

--- /dev/null
+++ b/src/admission/admission.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "admission/iadmission.h"
+#include "admission/types/admissionoptions.h"
+#include "admission/warmuplimit.h"
+
+namespace clementinesill::admission {
+
+// Counts one backend server's connections and requests against its slots, connection limit and warm-up limit.
+class Admission final : public IAdmission {
+public:
+    Admission(const AdmissionOptions& options, const IClock& clock);
+
+    AdmissionDecision admitFlow() override;
+    void releaseFlow() override;
+    AdmissionDecision admitRequest() override;
+    void finishRequest(const RequestResult& result) override;
+    void drain() override;
+    void restartWarmup() override;
+    AdmissionLoad load() const override;
+
+    // Caps concurrent requests for `duration`, as a health or load endpoint suggests; never raises the limit.
+    void lowerLimit(std::uint32_t cap, Duration duration);
+
+private:
+    std::uint32_t limit() const;
+    std::uint32_t flowLimit() const;
+    AdmissionReason requestReason() const;
+    AdmissionDecision refuse(AdmissionReason reason);
+    void rollWindow();
+
+    AdmissionOptions m_options;
+    const IClock& m_clock;
+    WarmupLimit m_warmup;
+    std::uint32_t m_flows = 0;
+    std::uint32_t m_requests = 0;
+    bool m_draining = false;
+    MonotonicTime m_windowStart;
+    std::uint32_t m_refused = 0;
+    std::uint32_t m_finished = 0;
+};
+
+} // namespace clementinesill::admission
--- /dev/null
+++ b/src/admission/tests/warmuplimit.cpp
@@ -0,0 +1,90 @@
+#include "admission/warmuplimit.h"
+
+#include "testing/manualclock.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace clementinesill;
+using namespace clementinesill::admission;
+
+namespace {
+
+constexpr auto normalLatency = std::chrono::milliseconds(20);
+
+void answer(WarmupLimit& limit, ManualClock& clock, int count, Duration latency = normalLatency)
+{
+    for (int index = 0; index < count; ++index) {
+        clock.advance(std::chrono::milliseconds(100));
+        limit.onFinished({ .end = RequestEnd::Answered, .latency = latency }, limit.limit());
+    }
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(WarmupLimit)
+{
+    ManualClock clock;
+    WarmupLimit limit { {}, clock };
+};
+// clang-format on
+
+TEST(WarmupLimit, GrowsByOneOnSuccessUpToTheMaximum)
+{
+    CHECK_EQUAL(1U, limit.limit());
+    answer(limit, clock, 3);
+    CHECK_EQUAL(2U, limit.limit());
+    answer(limit, clock, 100);
+    CHECK_EQUAL(5U, limit.limit());
+}
+
+TEST(WarmupLimit, DoesNotGrowWhileUnused)
+{
+    for (int index = 0; index < 100; ++index) {
+        clock.advance(std::chrono::seconds(1));
+        limit.onFinished({ .end = RequestEnd::Answered, .latency = normalLatency }, 0);
+    }
+    CHECK_EQUAL(1U, limit.limit());
+}
+
+TEST(WarmupLimit, HalvesOnceForOneOverload)
+{
+    answer(limit, clock, 100);
+    limit.onFinished({ .end = RequestEnd::Shed }, 5);
+    limit.onFinished({ .end = RequestEnd::TimedOut }, 4);
+    CHECK_EQUAL(2U, limit.limit());
+}
+
+TEST(WarmupLimit, RestartsWhenTheServerKeepsRefusing)
+{
+    answer(limit, clock, 100);
+    for (int index = 0; index < 3; ++index)
+        limit.onFinished({ .end = RequestEnd::Shed }, 5);
+    CHECK_EQUAL(1U, limit.limit());
+}
+
+TEST(WarmupLimit, RestartsOnALatencyStep)
+{
+    answer(limit, clock, 100);
+    answer(limit, clock, 8, 10 * normalLatency);
+    CHECK_EQUAL(1U, limit.limit());
+}
+
+TEST(WarmupLimit, AdaptsToASlowerServer)
+{
+    answer(limit, clock, 100);
+    answer(limit, clock, 1000, 10 * normalLatency);
+    CHECK_EQUAL(5U, limit.limit());
+}
+
+TEST(WarmupLimit, EndpointsOnlyLower)
+{
+    answer(limit, clock, 100);
+    limit.lower(2, std::chrono::seconds(1));
+    CHECK_EQUAL(2U, limit.limit());
+    limit.lower(50, std::chrono::seconds(1));
+    CHECK_EQUAL(5U, limit.limit());
+    limit.restart();
+    limit.lower(50, std::chrono::seconds(1));
+    CHECK_EQUAL(1U, limit.limit());
+}
