Share one first-in-rank look-up between balancers and agents

Ruled out: rankServers with a filter (writes a list to read one entry of it). Change: fleet::firstInRank over RankLeader; a server with a smaller hash and no more weight is skipped without its logarithm. rankServers' limit of 64 is named. Test: firstInRank agrees with the whole order; falsified when the skip ignored the weight, then restored. Conclusion: both roles rank through the same function.

--- a/src/agent/internal/flowrouter.cpp
+++ b/src/agent/internal/flowrouter.cpp
@@ -8,15 +8,11 @@
 #include "fleet/serverrank.h"
 
 #include <algorithm>
-#include <array>
 
 namespace clementinesill::agent {
 
 namespace {
 
-bool accepting(const fleet::ServerEntry& server) { return server.accepting(); }
-bool reachable(const fleet::ServerEntry& server) { return !server.zoneOut; }
-
 FlowDecision passOn(const fleet::ServerEntry& server, FlowReason reason)
 {
     return { .action = FlowAction::PassOn, .reason = reason, .nextAgent = server.agent, .nextServerId = server.id, .nextIncarnation = server.incarnation };
@@ -56,7 +52,7 @@
         m_flows.insert(packet.key, { .callerSequence = packet.sequence, .ingress = message.route->ingress, .lastPacket = m_clock.now() });
         return { .action = FlowAction::Open, .reason = FlowReason::Admitted };
     }
-    if (const auto* next = nextServer(message, packet, table, accepting))
+    if (const auto* next = nextServer(message, packet, table, fleet::takesNewFlows))
         return passOn(*next, FlowReason::NotAdmitted);
     return { .action = FlowAction::Reset, .reason = FlowReason::AdmittedByNobody };
 }
@@ -69,7 +65,7 @@
         entry->lastPacket = m_clock.now();
         return { .action = FlowAction::Deliver, .reason = FlowReason::Held };
     }
-    if (const auto* next = nextServer(message, packet, table, reachable))
+    if (const auto* next = nextServer(message, packet, table, fleet::isReachable))
         return passOn(*next, FlowReason::NotHeld);
     if (packet.tcpFlags & dataplane::TcpFlags::rst)
         return { .action = FlowAction::Drop, .reason = FlowReason::ResetNotHeld };
@@ -94,15 +90,11 @@
     const auto* service = table.service(m_identity.serviceId);
     if (!service || message.visited.size() >= dataplane::maximumVisited)
         return nullptr;
-    std::array<std::uint16_t, dataplane::maximumVisited> ranked {};
-    const auto count = fleet::rankServers(fleet::hash(packet.key, table.hashSeed()), service->servers, ranked);
-    for (const auto index : std::span(ranked).first(count)) {
-        const auto& server = service->servers[index];
+    const auto passes = [&](const fleet::ServerEntry& server) {
         const bool asked = server.id == m_identity.serverId || std::find(message.visited.begin(), message.visited.end(), server.id) != message.visited.end();
-        if (!asked && filter(server))
-            return &server;
-    }
-    return nullptr;
+        return !asked && filter(server);
+    };
+    return fleet::firstInRank(fleet::hash(packet.key, table.hashSeed()), service->servers, passes);
 }
 
 } // namespace clementinesill::agent
--- a/src/dataplane/internal/forwarder.cpp
+++ b/src/dataplane/internal/forwarder.cpp
@@ -10,28 +10,6 @@
 
 namespace {
 
-using ServerFilter = bool (*)(const fleet::ServerEntry&);
-
-bool accepting(const fleet::ServerEntry& server) { return server.accepting(); }
-bool reachable(const fleet::ServerEntry& server) { return !server.zoneOut; }
-
-// Highest ranked server that passes the filter; null if there is none.
-const fleet::ServerEntry* firstInRank(const fleet::ServiceEntry& service, std::uint64_t flowHash, ServerFilter filter)
-{
-    const fleet::ServerEntry* best = nullptr;
-    double bestScore = 0;
-    for (const auto& server : service.servers) {
-        if (!filter(server))
-            continue;
-        const double score = fleet::rendezvousScore(flowHash, server);
-        if (best && score <= bestScore)
-            continue;
-        best = &server;
-        bestScore = score;
-    }
-    return best;
-}
-
 ForwardDecision sendTo(const fleet::ServerEntry& server, const fleet::FleetTable& table, ForwardReason reason, std::uint8_t flags)
 {
     return {
@@ -71,10 +49,10 @@
 
 ForwardDecision Forwarder::openFlow(const fleet::ServiceEntry& service, const fleet::FleetTable& table, std::uint64_t flowHash)
 {
-    const auto* server = firstInRank(service, flowHash, accepting);
+    const auto* server = fleet::firstInRank(flowHash, service.servers, fleet::takesNewFlows);
     if (!server)
         return drop(service.servers.empty() ? ForwardReason::NoServer : ForwardReason::NoAcceptingServer);
-    if (server != firstInRank(service, flowHash, reachable))
+    if (server != fleet::firstInRank(flowHash, service.servers, fleet::isReachable))
         m_cache.store(flowHash, { .serverId = server->id, .incarnation = server->incarnation });
     else
         m_cache.erase(flowHash);
@@ -97,7 +75,7 @@
 {
     if (const auto* server = cached(table, flowHash))
         return sendTo(*server, table, ForwardReason::CacheHit, Route::fromCache);
-    const auto* server = firstInRank(service, flowHash, reachable);
+    const auto* server = fleet::firstInRank(flowHash, service.servers, fleet::isReachable);
     if (!server)
         return drop(ForwardReason::NoServer);
     return sendTo(*server, table, ForwardReason::FirstInRank, 0);
--- a/src/fleet/internal/serverrank.cpp
+++ b/src/fleet/internal/serverrank.cpp
@@ -7,17 +7,25 @@
 
 namespace clementinesill::fleet {
 
-double rendezvousScore(std::uint64_t flowHash, const ServerEntry& server)
+std::uint64_t RankLeader::hashBits(std::uint64_t flowHash, std::uint32_t serverId)
+{
+    return hash64(serverId, flowHash) >> 11;
+}
+
+double RankLeader::scoreOf(std::uint64_t bits, std::uint32_t weight)
 {
     constexpr double scale = 0x1p-53;
-    const auto bits = hash64(server.id, flowHash) >> 11;
     const double uniform = (static_cast<double>(bits) + 0.5) * scale;
-    return -static_cast<double>(server.weight) / std::log(uniform);
+    return -static_cast<double>(weight) / std::log(uniform);
+}
+
+double rendezvousScore(std::uint64_t flowHash, const ServerEntry& server)
+{
+    return RankLeader::scoreOf(RankLeader::hashBits(flowHash, server.id), server.weight);
 }
 
 std::size_t rankServers(std::uint64_t flowHash, std::span<const ServerEntry> servers, std::span<std::uint16_t> ranked)
 {
-    constexpr std::size_t maximumRanked = 64;
     double scores[maximumRanked];
     const auto wanted = std::min({ ranked.size(), servers.size(), maximumRanked });
     std::size_t count = 0;
--- a/src/fleet/serverrank.h
+++ b/src/fleet/serverrank.h
@@ -3,6 +3,7 @@
 #include "fleet/types/flowkey.h"
 #include "fleet/types/serverentry.h"
 
+#include <concepts>
 #include <cstdint>
 #include <span>
 
@@ -11,10 +12,71 @@
 // Weighted rendezvous hashing: every daemon ranks the same servers for a flow in the same order.
 // A server that comes or goes moves only its own place in the order.
 
+// Most servers that one ranking writes.
+constexpr std::size_t maximumRanked = 64;
+
 // Score of one server for a flow hash; higher ranks first. Ties are broken by the lower id.
 double rendezvousScore(std::uint64_t flowHash, const ServerEntry& server);
 
-// Writes the indices of the first ranked.size() servers in rank order; returns how many were written. Does not allocate.
+// Writes the indices of the first servers in rank order, at most ranked.size() and maximumRanked; returns how many were
+// written. The servers are in the order of their ids. Does not allocate.
 std::size_t rankServers(std::uint64_t flowHash, std::span<const ServerEntry> servers, std::span<std::uint16_t> ranked);
 
+// Best server seen so far while servers are offered in the order of their ids.
+class RankLeader {
+public:
+    explicit RankLeader(std::uint64_t flowHash)
+        : m_flowHash(flowHash)
+    {
+    }
+
+    // Makes the server the leader if it ranks higher and passes; the filter runs only on servers that rank higher.
+    template <std::predicate<const ServerEntry&> Filter>
+    void offer(const ServerEntry& server, Filter&& passes)
+    {
+        const auto bits = hashBits(m_flowHash, server.id);
+        // A smaller hash with no more weight cannot score higher: the logarithm is saved.
+        if (m_server && bits <= m_bits && server.weight <= m_server->weight)
+            return;
+        const double score = scoreOf(bits, server.weight);
+        if ((m_server && score <= m_score) || !passes(server))
+            return;
+        m_server = &server;
+        m_bits = bits;
+        m_score = score;
+    }
+
+    // Null if no server has passed.
+    const ServerEntry* server() const { return m_server; }
+
+private:
+    friend double rendezvousScore(std::uint64_t flowHash, const ServerEntry& server);
+
+    static std::uint64_t hashBits(std::uint64_t flowHash, std::uint32_t serverId);
+    static double scoreOf(std::uint64_t bits, std::uint32_t weight);
+
+    std::uint64_t m_flowHash;
+    const ServerEntry* m_server = nullptr;
+    std::uint64_t m_bits = 0;
+    double m_score = 0;
+};
+
+// First server in rank order that passes the filter; null if none does. Does not allocate.
+template <std::predicate<const ServerEntry&> Filter>
+const ServerEntry* firstInRank(std::uint64_t flowHash, std::span<const ServerEntry> servers, Filter&& passes)
+{
+    RankLeader leader(flowHash);
+    for (const auto& server : servers)
+        leader.offer(server, passes);
+    return leader.server();
+}
+
+// Filters of firstInRank.
+
+// Whether new flows may go to the server.
+inline bool takesNewFlows(const ServerEntry& server) { return server.accepting(); }
+
+// Whether packets of any kind may go to the server.
+inline bool isReachable(const ServerEntry& server) { return !server.zoneOut; }
+
 } // namespace clementinesill::fleet
--- a/src/fleet/tests/serverrank.cpp
+++ b/src/fleet/tests/serverrank.cpp
@@ -37,3 +37,19 @@
         RC_ASSERT(actual == expected);
     }));
 }
+
+TEST(ServerRank, FirstInRankAgreesWithTheWholeOrder)
+{
+    CHECK(rc::check("firstInRank finds the first ranked server that passes", [](std::uint64_t flowHash) {
+        std::vector<ServerEntry> servers(*rc::gen::inRange<std::size_t>(0, 40));
+        for (std::size_t index = 0; index < servers.size(); ++index) {
+            servers[index].id = static_cast<std::uint32_t>(index + 1);
+            servers[index].weight = *rc::gen::inRange<std::uint32_t>(1, 5);
+            servers[index].draining = *rc::gen::arbitrary<bool>();
+        }
+        std::vector<std::uint16_t> ranked(servers.size());
+        rankServers(flowHash, servers, ranked);
+        const auto expected = std::find_if(ranked.begin(), ranked.end(), [&](auto index) { return takesNewFlows(servers[index]); });
+        RC_ASSERT(firstInRank(flowHash, servers, takesNewFlows) == (expected == ranked.end() ? nullptr : &servers[*expected]));
+    }));
+}
