Serve the fleet's table from a first controller; watch it from every daemon

Cause: balancers and agents need services, zones and servers before the whole path can run. Ruled out: gRPC's synchronous streams (a thread a stream); a second state for operators' changes beside the table. Change: a deterministic fleet state (revision, request ids, conflicts, zones, servers with incarnations, events, deltas by version), the Fleet and Operators services as one coroutine a call on one control thread, lease tracking with hold-back, and the fleet client. The first controller of the settings leads and keeps its state in memory; the replicated log comes next. Conclusion: enough for the thin path; nothing survives a restart yet.

--- /dev/null
+++ b/src/control/fleetstate.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "control/ifleetstate.h"
+#include "control/requesthistory.h"
+#include "control/serverregistry.h"
+#include "control/tablehistory.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace clementinesill::control {
+
+// The fleet's configuration, zones and servers behind the replicated log.
+class FleetState final : public IFleetState {
+public:
+    FleetState();
+
+    CommandResult apply(const schema::Command& command) override;
+    schema::FleetSnapshot snapshot() const override;
+    void restore(const schema::FleetSnapshot& snapshot) override;
+    std::uint64_t revision() const override { return m_revision; }
+    std::uint64_t version() const override { return m_version; }
+    std::shared_ptr<const schema::TableUpdate> updateFrom(std::uint64_t version) const override;
+    const schema::ServerRecord* server(std::uint32_t id) const override { return m_servers.find(id); }
+
+    schema::Table table() const;
+    const std::vector<schema::ConfigFile>& files() const { return m_files; }
+    // Newest events, oldest first.
+    const std::deque<schema::Event>& events() const { return m_events; }
+    const std::map<std::string, schema::Zone>& zones() const { return m_zones; }
+    const ServerRegistry& servers() const { return m_servers; }
+    // 0 until the fleet is founded.
+    std::uint64_t hashSeed() const { return m_hashSeed; }
+
+private:
+    using Handler = CommandResult (FleetState::*)(const schema::Command&);
+
+    static Handler handlerOf(const schema::Command& command);
+    CommandResult foundFleet(const schema::Command& command);
+    CommandResult changeConfig(const schema::Command& command);
+    CommandResult changeZone(const schema::Command& command);
+    CommandResult drain(const schema::Command& command);
+    CommandResult announce(const schema::Command& command);
+    CommandResult leave(const schema::Command& command);
+    CommandResult transition(const schema::Command& command);
+    CommandResult noteMembership(const schema::Command& command);
+
+    void changeServices(const schema::OperatorFile& merged);
+    void changeZones(const schema::OperatorFile& merged);
+    void setZone(const std::string& name, schema::ZoneState state);
+    void noteServers(const std::vector<std::uint32_t>& ids);
+    void noteDisplaced(const std::vector<std::uint32_t>& ids, const std::string& by);
+    const schema::Service* serviceNamed(const std::string& name) const;
+    std::string serverName(std::uint32_t id) const;
+    void addEvent(const std::string& kind, const std::string& subject, const std::string& reason);
+    CommandResult conflict(const schema::Command& command) const;
+    void finish(const schema::Command& command, CommandResult& result);
+    std::shared_ptr<const schema::TableUpdate> buildUpdate(std::uint64_t version) const;
+
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_hashSeed = 0;
+    std::uint32_t m_nextServiceId = 1;
+    std::uint64_t m_nextEvent = 1;
+    std::vector<schema::ConfigFile> m_files;
+    schema::OperatorFile m_merged;
+    std::map<std::uint32_t, schema::Service> m_services;
+    std::map<std::string, schema::Zone> m_zones;
+    ServerRegistry m_servers;
+    RequestHistory m_requests;
+    std::deque<schema::Event> m_events;
+    TableHistory m_history;
+    // Change that the command being applied makes to the table.
+    TableChange m_change;
+    std::vector<schema::Event> m_newEvents;
+    // Updates built for the version in force, by the version they start from.
+    mutable std::map<std::uint64_t, std::shared_ptr<const schema::TableUpdate>> m_updates;
+};
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/internal/fleetstate.cpp
@@ -0,0 +1,446 @@
+#include "control/fleetstate.h"
+
+#include "control/internal/configdifference.h"
+#include "foundation/error.h"
+#include "foundation/types/endpoint.h"
+
+#include <array>
+#include <google/protobuf/util/message_differencer.h>
+
+namespace clementinesill::control {
+
+namespace {
+
+// Requests whose first answer is remembered: more than a day's changes of configuration.
+constexpr std::size_t requestLimit = 8192;
+constexpr std::size_t eventLimit = 2048;
+// Versions a daemon may lag behind and still be sent a delta.
+constexpr std::size_t historyLimit = 4096;
+// Distinct starting versions whose update is kept built.
+constexpr std::size_t updateCacheLimit = 64;
+
+CommandResult refused(schema::Outcome::Code code, const std::string& message)
+{
+    return { .code = code, .message = message };
+}
+
+// Empty if the announcement can stand in the table.
+std::string announcementFault(const schema::ServerAnnouncement& announcement)
+{
+    if (announcement.name().empty())
+        return "the announcement names no server; set 'name' in the agent's settings";
+    try {
+        parseEndpoint(announcement.agent_endpoint());
+        return {};
+    } catch (const Error& error) {
+        return error.what();
+    }
+}
+
+} // namespace
+
+FleetState::FleetState()
+    : m_requests(requestLimit)
+    , m_history(historyLimit)
+{
+}
+
+FleetState::Handler FleetState::handlerOf(const schema::Command& command)
+{
+    switch (command.change_case()) {
+    case schema::Command::kFoundFleet:
+        return &FleetState::foundFleet;
+    case schema::Command::kConfig:
+        return &FleetState::changeConfig;
+    case schema::Command::kZone:
+        return &FleetState::changeZone;
+    case schema::Command::kDrain:
+        return &FleetState::drain;
+    case schema::Command::kAnnouncement:
+        return &FleetState::announce;
+    case schema::Command::kLeave:
+        return &FleetState::leave;
+    case schema::Command::kTransition:
+        return &FleetState::transition;
+    case schema::Command::kMembership:
+        return &FleetState::noteMembership;
+    case schema::Command::CHANGE_NOT_SET:
+        return nullptr;
+    }
+    return nullptr;
+}
+
+CommandResult FleetState::apply(const schema::Command& command)
+{
+    if (const auto* first = m_requests.find(command.request_id())) {
+        if (first->fingerprint() != command.fingerprint())
+            return refused(schema::Outcome::CODE_INVALID, "request id '" + command.request_id() + "' was used for another change; use a new id for each change");
+        const auto& answer = first->response();
+        return { .code = answer.outcome().code(), .message = answer.outcome().message(), .revision = answer.revision(), .version = answer.version() };
+    }
+    m_change = {};
+    m_newEvents.clear();
+    const auto handler = handlerOf(command);
+    auto result = handler ? (this->*handler)(command) : CommandResult {};
+    finish(command, result);
+    return result;
+}
+
+void FleetState::finish(const schema::Command& command, CommandResult& result)
+{
+    if (!m_change.empty()) {
+        m_history.push(++m_version, std::move(m_change));
+        m_updates.clear();
+    }
+    for (auto& event : m_newEvents) {
+        event.set_number(m_nextEvent++);
+        event.set_time_ms(command.time_ms());
+        event.set_operator_name(command.operator_name());
+        event.set_version(m_version);
+        m_events.push_back(std::move(event));
+        if (m_events.size() > eventLimit)
+            m_events.pop_front();
+    }
+    result.revision = m_revision;
+    result.version = m_version;
+    if (command.request_id().empty())
+        return;
+    schema::RequestRecord record;
+    record.set_request_id(command.request_id());
+    record.set_fingerprint(command.fingerprint());
+    record.mutable_response()->mutable_outcome()->set_code(result.code);
+    record.mutable_response()->mutable_outcome()->set_message(result.message);
+    record.mutable_response()->set_revision(result.revision);
+    record.mutable_response()->set_version(result.version);
+    m_requests.remember(std::move(record));
+}
+
+CommandResult FleetState::foundFleet(const schema::Command& command)
+{
+    if (m_hashSeed)
+        return {};
+    m_hashSeed = command.found_fleet().hash_seed();
+    // The table's first version, so that a founded fleet without services differs from none.
+    m_history.push(++m_version, {});
+    m_updates.clear();
+    addEvent("fleet_founded", "fleet", "the controllers have formed their group");
+    return {};
+}
+
+CommandResult FleetState::changeConfig(const schema::Command& command)
+{
+    if (command.base_revision() != m_revision)
+        return conflict(command);
+    const auto& config = command.config();
+    changeServices(config.merged());
+    changeZones(config.merged());
+    m_files.assign(config.files().begin(), config.files().end());
+    m_merged = config.merged();
+    ++m_revision;
+    addEvent("config_accepted", "revision " + std::to_string(m_revision), std::to_string(m_files.size()) + " files applied");
+    return {};
+}
+
+CommandResult FleetState::conflict(const schema::Command& command) const
+{
+    const auto name = command.has_zone() ? command.zone().zone() : firstDifference(m_files, command.config().files());
+    return refused(schema::Outcome::CODE_CONFLICT,
+        "the change of '" + name + "' was made from revision " + std::to_string(command.base_revision()) + " but revision " + std::to_string(m_revision)
+            + " is in force; read the configuration, make the change again and send it under a new request id");
+}
+
+void FleetState::changeServices(const schema::OperatorFile& merged)
+{
+    std::map<std::string, schema::Service> wanted;
+    for (const auto& record : merged.services())
+        wanted[record.name()] = serviceOf(record);
+    for (auto place = m_services.begin(); place != m_services.end();) {
+        const auto found = wanted.find(place->second.name());
+        if (found == wanted.end()) {
+            noteServers(m_servers.removeService(place->first));
+            m_change.services.insert(place->first);
+            addEvent("service_removed", place->second.name(), "no file names it");
+            place = m_services.erase(place);
+            continue;
+        }
+        found->second.set_id(place->first);
+        if (!google::protobuf::util::MessageDifferencer::Equals(found->second, place->second)) {
+            place->second = found->second;
+            m_change.services.insert(place->first);
+            addEvent("service_changed", place->second.name(), "its record changed");
+        }
+        wanted.erase(found);
+        ++place;
+    }
+    for (auto& [name, service] : wanted) {
+        service.set_id(m_nextServiceId);
+        m_change.services.insert(m_nextServiceId);
+        m_services[m_nextServiceId++] = service;
+        addEvent("service_added", name, "a file names it");
+    }
+}
+
+// A zone's state follows the files only where a file changes it, so that an unrelated change never brings a zone back.
+void FleetState::changeZones(const schema::OperatorFile& merged)
+{
+    const auto before = zoneStates(m_merged);
+    const auto after = zoneStates(merged);
+    for (const auto& [name, state] : after) {
+        const auto found = before.find(name);
+        if (found == before.end() ? (!m_zones.contains(name) || state == schema::ZONE_STATE_OUT) : found->second != state)
+            setZone(name, state);
+    }
+    for (const auto& [name, state] : before) {
+        const auto found = m_zones.find(name);
+        if (after.contains(name) || found == m_zones.end() || found->second.state() != state)
+            continue;
+        m_zones.erase(found);
+        m_change.zones.insert(name);
+        addEvent("zone_removed", name, "no file names it");
+    }
+}
+
+void FleetState::setZone(const std::string& name, schema::ZoneState state)
+{
+    auto& zone = m_zones[name];
+    if (zone.state() == state)
+        return;
+    zone.set_name(name);
+    zone.set_state(state);
+    m_change.zones.insert(name);
+    addEvent(state == schema::ZONE_STATE_OUT ? "zone_out" : "zone_in", name, "asked for by operators");
+}
+
+CommandResult FleetState::changeZone(const schema::Command& command)
+{
+    const auto& change = command.zone();
+    if (command.base_revision() && command.base_revision() != m_revision)
+        return conflict(command);
+    if (!m_zones.contains(change.zone()))
+        return refused(schema::Outcome::CODE_NOT_FOUND, "no zone is named '" + change.zone() + "'; name one that the operators' files or a server's announcement give");
+    setZone(change.zone(), change.state());
+    ++m_revision;
+    return {};
+}
+
+CommandResult FleetState::drain(const schema::Command& command)
+{
+    const auto& change = command.drain();
+    const auto found = m_servers.drain(change.server(), change.resume());
+    if (found.empty())
+        return refused(schema::Outcome::CODE_NOT_FOUND, "no server in the table is named '" + change.server() + "'; list the servers and use the name shown");
+    noteServers(found);
+    addEvent(change.resume() ? "server_resumed" : "server_drained", change.server(), "asked for by operators");
+    return {};
+}
+
+CommandResult FleetState::announce(const schema::Command& command)
+{
+    const auto& announcement = command.announcement();
+    const auto fault = announcementFault(announcement);
+    if (!fault.empty())
+        return refused(schema::Outcome::CODE_INVALID, fault);
+    const auto* service = serviceNamed(announcement.service());
+    if (!service)
+        return refused(schema::Outcome::CODE_NOT_FOUND, "no service is named '" + announcement.service() + "'; add it to the operators' files or correct the agent's settings");
+    const auto change = m_servers.announce(announcement, service->id());
+    if (change.verdict == ServerRegistry::Verdict::Replaced)
+        return refused(schema::Outcome::CODE_CONFLICT, "a newer start of '" + announcement.name() + "' has registered; stop this agent or give it another name");
+    if (change.verdict == ServerRegistry::Verdict::Changed) {
+        noteServers({ change.serverId });
+        addEvent("server_registered", announcement.name(), "incarnation " + std::to_string(change.incarnation) + " at " + announcement.agent_endpoint());
+    }
+    noteDisplaced(change.displaced, announcement.name());
+    if (!announcement.zone().empty() && !m_zones.contains(announcement.zone()))
+        setZone(announcement.zone(), schema::ZONE_STATE_IN);
+    CommandResult result;
+    result.serverId = change.serverId;
+    result.incarnation = change.incarnation;
+    return result;
+}
+
+CommandResult FleetState::leave(const schema::Command& command)
+{
+    const auto change = m_servers.leave(command.leave());
+    if (change.verdict == ServerRegistry::Verdict::Unknown)
+        return refused(schema::Outcome::CODE_NOT_FOUND, "the server is not in the table under this incarnation; nothing is left to do");
+    if (change.verdict == ServerRegistry::Verdict::Changed) {
+        noteServers({ change.serverId });
+        addEvent(command.leave().draining() ? "server_draining" : "server_left", serverName(change.serverId), "asked for by its agent");
+    }
+    return {};
+}
+
+CommandResult FleetState::transition(const schema::Command& command)
+{
+    static constexpr std::array<const char*, 6> kinds { "", "server_silent", "server_returned", "server_expired", "server_damped", "server_released" };
+    const auto& transition = command.transition();
+    const auto change = m_servers.transition(transition);
+    if (change.verdict == ServerRegistry::Verdict::Unknown)
+        return refused(schema::Outcome::CODE_NOT_FOUND, "the server is not in the table under this incarnation; nothing is left to do");
+    if (change.verdict == ServerRegistry::Verdict::Changed) {
+        noteServers({ change.serverId });
+        addEvent(kinds.at(static_cast<std::size_t>(transition.kind())), serverName(change.serverId), transition.reason());
+    }
+    return {};
+}
+
+CommandResult FleetState::noteMembership(const schema::Command& command)
+{
+    std::string names;
+    for (const auto& member : command.membership().members())
+        names += (names.empty() ? "" : ", ") + member.name();
+    addEvent("membership_changed", names, "these controllers vote");
+    return {};
+}
+
+void FleetState::noteServers(const std::vector<std::uint32_t>& ids)
+{
+    m_change.servers.insert(ids.begin(), ids.end());
+}
+
+void FleetState::noteDisplaced(const std::vector<std::uint32_t>& ids, const std::string& by)
+{
+    noteServers(ids);
+    for (const auto id : ids)
+        addEvent("server_displaced", serverName(id), by + " has announced itself at its endpoint");
+}
+
+const schema::Service* FleetState::serviceNamed(const std::string& name) const
+{
+    for (const auto& [id, service] : m_services) {
+        if (service.name() == name)
+            return &service;
+    }
+    return nullptr;
+}
+
+std::string FleetState::serverName(std::uint32_t id) const
+{
+    const auto* record = m_servers.find(id);
+    return record ? record->server().name() : std::to_string(id);
+}
+
+void FleetState::addEvent(const std::string& kind, const std::string& subject, const std::string& reason)
+{
+    auto& event = m_newEvents.emplace_back();
+    event.set_kind(kind);
+    event.set_subject(subject);
+    event.set_reason(reason);
+}
+
+std::shared_ptr<const schema::TableUpdate> FleetState::updateFrom(std::uint64_t version) const
+{
+    const auto found = m_updates.find(version);
+    if (found != m_updates.end())
+        return found->second;
+    auto update = buildUpdate(version);
+    if (m_updates.size() < updateCacheLimit)
+        m_updates[version] = update;
+    return update;
+}
+
+std::shared_ptr<const schema::TableUpdate> FleetState::buildUpdate(std::uint64_t version) const
+{
+    auto update = std::make_shared<schema::TableUpdate>();
+    if (version >= m_version) {
+        update->set_version(m_version);
+        return update;
+    }
+    const auto change = version ? m_history.since(version) : std::nullopt;
+    if (!change) {
+        *update->mutable_table() = table();
+        return update;
+    }
+    auto& delta = *update->mutable_delta();
+    delta.set_from_version(version);
+    delta.set_to_version(m_version);
+    for (const auto id : change->services) {
+        const auto found = m_services.find(id);
+        if (found == m_services.end())
+            delta.add_removed_services(id);
+        else
+            *delta.add_services() = found->second;
+    }
+    for (const auto& name : change->zones) {
+        const auto found = m_zones.find(name);
+        if (found == m_zones.end())
+            delta.add_removed_zones(name);
+        else
+            *delta.add_zones() = found->second;
+    }
+    for (const auto id : change->servers) {
+        const auto* record = m_servers.find(id);
+        if (!record || record->removed())
+            delta.add_removed_servers(id);
+        else
+            *delta.add_servers() = record->server();
+    }
+    return update;
+}
+
+schema::Table FleetState::table() const
+{
+    schema::Table table;
+    table.set_version(m_version);
+    table.set_hash_seed(m_hashSeed);
+    for (const auto& [id, service] : m_services)
+        *table.add_services() = service;
+    for (const auto& [name, zone] : m_zones)
+        *table.add_zones() = zone;
+    for (const auto& [id, record] : m_servers.records()) {
+        if (!record.removed())
+            *table.add_servers() = record.server();
+    }
+    return table;
+}
+
+schema::FleetSnapshot FleetState::snapshot() const
+{
+    schema::FleetSnapshot snapshot;
+    snapshot.set_revision(m_revision);
+    snapshot.set_version(m_version);
+    snapshot.set_hash_seed(m_hashSeed);
+    snapshot.set_next_service_id(m_nextServiceId);
+    snapshot.set_next_server_id(m_servers.nextId());
+    snapshot.set_next_event(m_nextEvent);
+    snapshot.mutable_files()->Assign(m_files.begin(), m_files.end());
+    *snapshot.mutable_merged() = m_merged;
+    for (const auto& [id, service] : m_services)
+        *snapshot.add_services() = service;
+    for (const auto& [name, zone] : m_zones)
+        *snapshot.add_zones() = zone;
+    for (const auto& [id, record] : m_servers.records())
+        *snapshot.add_servers() = record;
+    for (const auto& record : m_requests.records())
+        *snapshot.add_requests() = record;
+    for (const auto& event : m_events)
+        *snapshot.add_events() = event;
+    return snapshot;
+}
+
+void FleetState::restore(const schema::FleetSnapshot& snapshot)
+{
+    m_revision = snapshot.revision();
+    m_version = snapshot.version();
+    m_hashSeed = snapshot.hash_seed();
+    m_nextServiceId = snapshot.next_service_id();
+    m_nextEvent = snapshot.next_event();
+    m_files.assign(snapshot.files().begin(), snapshot.files().end());
+    m_merged = snapshot.merged();
+    m_services.clear();
+    for (const auto& service : snapshot.services())
+        m_services[service.id()] = service;
+    m_zones.clear();
+    for (const auto& zone : snapshot.zones())
+        m_zones[zone.name()] = zone;
+    m_servers.restore({ snapshot.servers().begin(), snapshot.servers().end() }, snapshot.next_server_id());
+    m_requests.clear();
+    for (const auto& record : snapshot.requests())
+        m_requests.remember(record);
+    m_events.assign(snapshot.events().begin(), snapshot.events().end());
+    m_history.reset(m_version);
+    m_updates.clear();
+}
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/internal/rpcservices.cpp
@@ -0,0 +1,66 @@
+#include "control/internal/rpcservices.h"
+
+#include <boost/asio/detached.hpp>
+
+namespace clementinesill::control {
+
+using boost::asio::co_spawn;
+using boost::asio::detached;
+
+grpc::ServerWriteReactor<schema::TableUpdate>* FleetService::Watch(grpc::CallbackServerContext*, const schema::WatchRequest* request)
+{
+    auto writer = Controller::Watcher::create(m_context);
+    co_spawn(
+        m_context, [this, writer, request = *request] { return m_controller.watch(writer, request); }, detached);
+    return writer.get();
+}
+
+grpc::ServerUnaryReactor* FleetService::Register(grpc::CallbackServerContext* call, const schema::ServerAnnouncement* request, schema::RegisterResponse* response)
+{
+    return answer(m_context, call, [this, request, response] { return m_controller.registerServer(*request, *response); });
+}
+
+grpc::ServerUnaryReactor* FleetService::Renew(grpc::CallbackServerContext* call, const schema::RenewRequest* request, schema::RenewResponse* response)
+{
+    return answer(m_context, call, [this, request, response] { return m_controller.renew(*request, *response); });
+}
+
+grpc::ServerUnaryReactor* FleetService::Leave(grpc::CallbackServerContext* call, const schema::LeaveRequest* request, schema::LeaveResponse* response)
+{
+    return answer(m_context, call, [this, request, response] { return m_controller.leave(*request, *response); });
+}
+
+grpc::ServerUnaryReactor* OperatorService::Apply(grpc::CallbackServerContext* call, const schema::ApplyRequest* request, schema::ChangeResponse* response)
+{
+    return answer(m_context, call, [this, request, response] { return m_controller.applyFiles(*request, *response); });
+}
+
+grpc::ServerUnaryReactor* OperatorService::SetZone(grpc::CallbackServerContext* call, const schema::SetZoneRequest* request, schema::ChangeResponse* response)
+{
+    return answer(m_context, call, [this, request, response] { return m_controller.setZone(*request, *response); });
+}
+
+grpc::ServerUnaryReactor* OperatorService::DrainServer(grpc::CallbackServerContext* call, const schema::DrainServerRequest* request, schema::ChangeResponse* response)
+{
+    return answer(m_context, call, [this, request, response] { return m_controller.drainServer(*request, *response); });
+}
+
+grpc::ServerUnaryReactor* OperatorService::ReadConfig(grpc::CallbackServerContext* call, const schema::ReadConfigRequest*, schema::ReadConfigResponse* response)
+{
+    return answer(m_context, call, [this, response] { return m_controller.readConfig(*response); });
+}
+
+grpc::ServerUnaryReactor* OperatorService::Status(grpc::CallbackServerContext* call, const schema::StatusRequest*, schema::StatusResponse* response)
+{
+    return answer(m_context, call, [this, response] { return m_controller.status(*response); });
+}
+
+grpc::ServerWriteReactor<schema::Event>* OperatorService::Events(grpc::CallbackServerContext*, const schema::EventsRequest* request)
+{
+    auto writer = Controller::EventWriter::create(m_context);
+    co_spawn(
+        m_context, [this, writer, request = *request] { return m_controller.events(writer, request); }, detached);
+    return writer.get();
+}
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/internal/tablehistory.cpp
@@ -0,0 +1,39 @@
+#include "control/tablehistory.h"
+
+namespace clementinesill::control {
+
+void TableChange::add(const TableChange& other)
+{
+    services.insert(other.services.begin(), other.services.end());
+    zones.insert(other.zones.begin(), other.zones.end());
+    servers.insert(other.servers.begin(), other.servers.end());
+}
+
+void TableHistory::push(std::uint64_t version, TableChange change)
+{
+    if (version != m_base + m_changes.size() + 1)
+        reset(version - 1);
+    m_changes.push_back(std::move(change));
+    if (m_changes.size() <= m_limit)
+        return;
+    m_changes.pop_front();
+    ++m_base;
+}
+
+std::optional<TableChange> TableHistory::since(std::uint64_t version) const
+{
+    if (version < m_base || version > m_base + m_changes.size())
+        return std::nullopt;
+    TableChange sum;
+    for (auto index = version - m_base; index < m_changes.size(); ++index)
+        sum.add(m_changes[index]);
+    return sum;
+}
+
+void TableHistory::reset(std::uint64_t version)
+{
+    m_base = version;
+    m_changes.clear();
+}
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/leasetracker.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "control.pb.h"
+#include "foundation/iclock.h"
+#include "log.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace clementinesill::control {
+
+class ServerRegistry;
+
+struct LeaseTrackerOptions {
+    // A server that has not renewed for this long takes no new flows.
+    Duration lease = std::chrono::seconds(3);
+    // Leases without a renewal after which a silent server is removed.
+    int expiryLeases = 5;
+};
+
+// Soft state of the leader: when each server last renewed, and which transitions follow from that.
+class LeaseTracker {
+public:
+    // What a server said last.
+    struct Report {
+        MonotonicTime heard;
+        schema::RenewRequest request;
+    };
+
+    LeaseTracker(const IClock& clock, const LeaseTrackerOptions& options)
+        : m_clock(clock)
+        , m_options(options)
+    {
+    }
+
+    // Gives every server a whole lease from now; called when this controller starts to lead.
+    void restart();
+
+    void renewed(const schema::RenewRequest& request);
+
+    // Transitions that are due now. Nothing is held silent while more than half of the servers are: then it is more likely
+    // that this controller is the one cut off.
+    std::vector<schema::ServerTransition> due(const ServerRegistry& servers);
+
+    // Whether the last call of due() held transitions back for that reason.
+    bool heldBack() const { return m_heldBack; }
+
+    // Null if the server has not renewed since this controller leads.
+    const Report* report(std::uint32_t serverId) const;
+
+private:
+    MonotonicTime lastHeard(const schema::ServerRecord& record);
+    void forgetRemoved(const ServerRegistry& servers);
+
+    const IClock& m_clock;
+    LeaseTrackerOptions m_options;
+    std::map<std::uint32_t, Report> m_reports;
+    bool m_heldBack = false;
+};
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/tablehistory.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace clementinesill::control {
+
+// Records that one version of the table, or a run of versions, has changed.
+struct TableChange {
+    std::set<std::uint32_t> services;
+    std::set<std::string> zones;
+    std::set<std::uint32_t> servers;
+
+    bool empty() const { return services.empty() && zones.empty() && servers.empty(); }
+    void add(const TableChange& other);
+};
+
+// Which records the newest versions of the table have changed.
+class TableHistory {
+public:
+    explicit TableHistory(std::size_t limit)
+        : m_limit(limit)
+    {
+    }
+
+    // Notes the change that made the version; versions follow each other.
+    void push(std::uint64_t version, TableChange change);
+
+    // All that has changed since the version; empty optional if the history does not reach back to it.
+    std::optional<TableChange> since(std::uint64_t version) const;
+
+    // Starts again after the version.
+    void reset(std::uint64_t version);
+
+private:
+    std::size_t m_limit;
+    // Version before the oldest change held.
+    std::uint64_t m_base = 0;
+    std::deque<TableChange> m_changes;
+};
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/fleet/controllerchoice.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "foundation/iclock.h"
+
+#include <string>
+#include <vector>
+
+namespace clementinesill {
+class IRandom;
+}
+
+namespace clementinesill::fleet {
+
+// Chooses the controller to ask next and how long to wait before. Not thread-safe.
+class ControllerChoice {
+public:
+    // Starts at a random controller, so that daemons spread. endpoints must not be empty.
+    ControllerChoice(std::vector<std::string> endpoints, IRandom& random);
+
+    const std::string& current() const { return m_endpoints[m_current]; }
+
+    // The current controller answered: the next failure starts with the shortest wait again.
+    void succeeded() { m_failures = 0; }
+
+    // The current controller failed: moves to the next one. Returns the wait before it is asked, jittered between half
+    // and all of a bound that doubles with each failure in a row.
+    Duration failed();
+
+    // The current controller named the leader: moves there, or to the next if the hint is empty or not among the endpoints.
+    // Returns the wait, which is none for the first hint in a row.
+    Duration follow(const std::string& hint);
+
+private:
+    Duration backoff();
+
+    std::vector<std::string> m_endpoints;
+    IRandom& m_random;
+    std::size_t m_current = 0;
+    int m_failures = 0;
+};
+
+} // namespace clementinesill::fleet
--- /dev/null
+++ b/src/fleet/internal/controllerchoice.cpp
@@ -0,0 +1,50 @@
+#include "fleet/controllerchoice.h"
+
+#include "foundation/irandom.h"
+
+#include <algorithm>
+
+namespace clementinesill::fleet {
+
+namespace {
+
+constexpr auto shortestBackoff = std::chrono::milliseconds(50);
+constexpr auto longestBackoff = std::chrono::milliseconds(2000);
+constexpr int doublings = 6;
+
+} // namespace
+
+ControllerChoice::ControllerChoice(std::vector<std::string> endpoints, IRandom& random)
+    : m_endpoints(std::move(endpoints))
+    , m_random(random)
+    , m_current(random.below(m_endpoints.size()))
+{
+}
+
+Duration ControllerChoice::failed()
+{
+    m_current = (m_current + 1) % m_endpoints.size();
+    return backoff();
+}
+
+Duration ControllerChoice::follow(const std::string& hint)
+{
+    const auto found = std::find(m_endpoints.begin(), m_endpoints.end(), hint);
+    if (found == m_endpoints.end() || *found == current())
+        return failed();
+    m_current = static_cast<std::size_t>(found - m_endpoints.begin());
+    if (m_failures++ == 0)
+        return Duration::zero();
+    return backoff();
+}
+
+Duration ControllerChoice::backoff()
+{
+    const auto doubled = shortestBackoff * (1 << std::min(m_failures, doublings));
+    m_failures = std::min(m_failures + 1, doublings);
+    const auto bound = std::chrono::duration_cast<std::chrono::microseconds>(std::min<Duration>(doubled, longestBackoff)).count();
+    const auto half = static_cast<std::uint64_t>(bound / 2);
+    return std::chrono::microseconds(half + m_random.below(half + 1));
+}
+
+} // namespace clementinesill::fleet
--- a/src/fleet/internal/fleetclient.cpp
+++ b/src/fleet/internal/fleetclient.cpp
@@ -1,12 +1,15 @@
 #include "fleet/fleetclient.h"
 
+#include "fleet/internal/grpcfleetclient.h"
 #include "foundation/error.h"
 
 namespace clementinesill::fleet {
 
-std::unique_ptr<IFleetClient> makeFleetClient(const schema::DaemonSettings&)
+std::unique_ptr<IFleetClient> makeFleetClient(const schema::DaemonSettings& settings)
 {
-    throw Error(ErrorKind::Unsupported, "the fleet client is not built yet", "wait");
+    if (settings.controllers().empty())
+        throw Error(ErrorKind::InvalidSettings, "the settings name no controllers", "list the controllers' gRPC endpoints under 'controllers'");
+    return std::make_unique<GrpcFleetClient>(settings);
 }
 
 } // namespace clementinesill::fleet
--- /dev/null
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -0,0 +1,288 @@
+#include "fleet/internal/grpcfleetclient.h"
+
+#include "fleet/fleettable.h"
+#include "fleet/tabledelta.h"
+#include "foundation/error.h"
+#include "foundation/log.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace clementinesill::fleet {
+
+namespace {
+
+constexpr auto callTimeout = std::chrono::seconds(2);
+constexpr auto registerTimeout = std::chrono::seconds(20);
+constexpr auto renewTimeout = std::chrono::seconds(3);
+constexpr auto leaveTimeout = std::chrono::seconds(5);
+// How long a new stream may take to its first update.
+constexpr auto firstUpdateTimeout = std::chrono::seconds(2);
+// How often the watch thread looks whether it is to stop.
+constexpr auto stopCheckInterval = std::chrono::milliseconds(100);
+// Largest table accepted, in bytes.
+constexpr int maximumMessageBytes = 64 << 20;
+
+// The one event that is outstanding on the watch's queue.
+void* const watchTag = nullptr;
+
+// Reads one stream in a straight line with timeouts.
+class WatchStream {
+public:
+    WatchStream(schema::Fleet::Stub& stub, const schema::WatchRequest& request, const std::atomic<bool>& stopping)
+        : m_stopping(stopping)
+        , m_reader(stub.AsyncWatch(&m_context, request, &m_queue, watchTag))
+    {
+    }
+
+    ~WatchStream()
+    {
+        m_context.TryCancel();
+        m_queue.Shutdown();
+        void* tag = nullptr;
+        bool ok = false;
+        while (m_queue.Next(&tag, &ok)) { }
+    }
+
+    WatchStream(const WatchStream&) = delete;
+    WatchStream& operator=(const WatchStream&) = delete;
+
+    bool opened() { return await(firstUpdateTimeout); }
+
+    bool read(schema::TableUpdate& update, Duration timeout)
+    {
+        m_reader->Read(&update, watchTag);
+        return await(timeout);
+    }
+
+    grpc::Status finish()
+    {
+        if (m_timedOut)
+            return { grpc::StatusCode::DEADLINE_EXCEEDED, "the controller was silent for longer than its lease" };
+        grpc::Status status;
+        m_reader->Finish(&status, watchTag);
+        await(firstUpdateTimeout);
+        return status;
+    }
+
+private:
+    // False if the event failed, the time is over or the client stops.
+    bool await(Duration timeout)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        while (!m_stopping && std::chrono::steady_clock::now() < deadline) {
+            void* tag = nullptr;
+            bool ok = false;
+            const auto status = m_queue.AsyncNext(&tag, &ok, std::chrono::system_clock::now() + stopCheckInterval);
+            if (status == grpc::CompletionQueue::GOT_EVENT)
+                return ok;
+        }
+        m_timedOut = true;
+        return false;
+    }
+
+    const std::atomic<bool>& m_stopping;
+    bool m_timedOut = false;
+    grpc::ClientContext m_context;
+    grpc::CompletionQueue m_queue;
+    std::unique_ptr<grpc::ClientAsyncReader<schema::TableUpdate>> m_reader;
+};
+
+schema::Role roleOf(const schema::DaemonSettings& settings)
+{
+    if (settings.has_balancer())
+        return schema::ROLE_BALANCER;
+    return settings.has_agent() ? schema::ROLE_AGENT : schema::ROLE_UNSPECIFIED;
+}
+
+// Outcomes after which another try, at this or another controller, may do better.
+bool worthRetrying(schema::Outcome::Code code)
+{
+    return code == schema::Outcome::CODE_NOT_LEADER || code == schema::Outcome::CODE_NO_QUORUM || code == schema::Outcome::CODE_UNKNOWN;
+}
+
+} // namespace
+
+GrpcFleetClient::GrpcFleetClient(const schema::DaemonSettings& settings)
+    : m_settings(settings)
+    , m_random(SeededRandom::fromEntropy())
+    , m_callChoice({ settings.controllers().begin(), settings.controllers().end() }, m_random)
+{
+}
+
+GrpcFleetClient::~GrpcFleetClient()
+{
+    stop();
+}
+
+void GrpcFleetClient::start()
+{
+    m_watchThread = std::thread([this] { watchLoop(); });
+}
+
+void GrpcFleetClient::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_stopped.notify_all();
+    if (m_watchThread.joinable())
+        m_watchThread.join();
+}
+
+void GrpcFleetClient::watchLoop()
+{
+    auto random = SeededRandom::fromEntropy();
+    ControllerChoice choice({ m_settings.controllers().begin(), m_settings.controllers().end() }, random);
+    while (!m_stopping) {
+        const auto end = watchOnce(choice.current());
+        if (m_stopping)
+            return;
+        if (end.received)
+            choice.succeeded();
+        log(LogLevel::Info, "watch_ended", { { .key = "controller", .value = choice.current() }, { .key = "version", .value = std::to_string(m_table.version()) }, { .key = "reason", .value = end.reason } });
+        pause(end.refused ? choice.follow(end.hint) : choice.failed());
+    }
+}
+
+GrpcFleetClient::WatchEnd GrpcFleetClient::watchOnce(const std::string& endpoint)
+{
+    schema::WatchRequest request;
+    request.set_daemon(m_settings.name());
+    request.set_role(roleOf(m_settings));
+    request.set_zone(m_settings.zone());
+    request.set_version(m_table.version());
+    const auto target = stub(endpoint);
+    WatchStream stream(*target, request, m_stopping);
+    WatchEnd end;
+    Duration lease = firstUpdateTimeout;
+    schema::TableUpdate update;
+    bool open = stream.opened();
+    while (open && stream.read(update, lease)) {
+        if (!takeUpdate(update)) {
+            end.reason = "the controller's update does not fit the table held";
+            return end;
+        }
+        end.received = true;
+        if (update.lease_ms())
+            lease = std::chrono::milliseconds(update.lease_ms());
+    }
+    const auto status = stream.finish();
+    end.reason = status.error_message();
+    end.hint = status.error_details();
+    end.refused = status.error_code() == grpc::StatusCode::UNAVAILABLE && !end.hint.empty();
+    return end;
+}
+
+bool GrpcFleetClient::takeUpdate(const schema::TableUpdate& update)
+{
+    switch (update.update_case()) {
+    case schema::TableUpdate::kTable:
+        if (update.table().version() <= m_table.version())
+            return update.table().version() == m_table.version();
+        m_table = update.table();
+        break;
+    case schema::TableUpdate::kDelta:
+        if (!applyDelta(m_table, update.delta()))
+            return false;
+        break;
+    default:
+        return true;
+    }
+    offerTable();
+    return true;
+}
+
+void GrpcFleetClient::offerTable()
+{
+    try {
+        m_holder.offer(std::make_shared<const FleetTable>(m_table));
+        log(LogLevel::Info, "table_taken", { { .key = "version", .value = std::to_string(m_table.version()) } });
+    } catch (const Error& error) {
+        log(LogLevel::Error, "table_refused", { { .key = "version", .value = std::to_string(m_table.version()) }, { .key = "reason", .value = error.what() } });
+    }
+}
+
+void GrpcFleetClient::pause(Duration duration)
+{
+    std::unique_lock lock(m_mutex);
+    m_stopped.wait_for(lock, duration, [this] { return m_stopping.load(); });
+}
+
+std::shared_ptr<GrpcFleetClient::Stub> GrpcFleetClient::stub(const std::string& endpoint)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& stub = m_stubs[endpoint];
+    if (stub)
+        return stub;
+    grpc::ChannelArguments arguments;
+    arguments.SetMaxReceiveMessageSize(maximumMessageBytes);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 500);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 2000);
+    stub = schema::Fleet::NewStub(grpc::CreateCustomChannel(endpoint, grpc::InsecureChannelCredentials(), arguments));
+    return stub;
+}
+
+template <typename Request, typename Response>
+Response GrpcFleetClient::call(grpc::Status (Stub::*method)(grpc::ClientContext*, const Request&, Response*), const Request& request, Duration timeout)
+{
+    const auto deadline = Clock::now() + timeout;
+    std::string problem = "no controller was asked";
+    while (!m_stopping && Clock::now() < deadline) {
+        std::string endpoint;
+        {
+            const std::lock_guard lock(m_mutex);
+            endpoint = m_callChoice.current();
+        }
+        grpc::ClientContext context;
+        context.set_deadline(std::chrono::system_clock::now() + std::min<Duration>(callTimeout, deadline - Clock::now()));
+        Response response;
+        const auto status = ((*stub(endpoint)).*method)(&context, request, &response);
+        const auto& outcome = response.outcome();
+        std::unique_lock lock(m_mutex);
+        if (status.ok() && !worthRetrying(outcome.code())) {
+            m_callChoice.succeeded();
+            return response;
+        }
+        problem = status.ok() ? outcome.message() : status.error_message();
+        const auto wait = status.ok() ? m_callChoice.follow(outcome.leader_hint()) : m_callChoice.failed();
+        m_stopped.wait_for(lock, wait, [this] { return m_stopping.load(); });
+    }
+    throw Error(ErrorKind::Unavailable, "no controller accepted the call in time (" + problem + ")", "check that a majority of the controllers runs and can be reached");
+}
+
+Registration GrpcFleetClient::registerServer(const schema::ServerAnnouncement& announcement)
+{
+    const auto deadline = Clock::now() + registerTimeout;
+    schema::RegisterResponse response;
+    do {
+        response = call(&Stub::Register, announcement, deadline - Clock::now());
+        if (response.outcome().code() != schema::Outcome::CODE_NOT_FOUND)
+            break;
+        // The service may still be on its way from the operators.
+        pause(std::chrono::milliseconds(500));
+    } while (!m_stopping && Clock::now() < deadline);
+    if (response.outcome().code() == schema::Outcome::CODE_NOT_FOUND)
+        throw Error(ErrorKind::Unavailable, response.outcome().message(), "the agent asks again");
+    if (response.outcome().code() != schema::Outcome::CODE_OK)
+        throw Error(ErrorKind::InvalidArgument, "the controllers refused the announcement: " + response.outcome().message(), "correct the agent's settings");
+    return { .serverId = response.server_id(), .incarnation = response.incarnation() };
+}
+
+bool GrpcFleetClient::renew(const schema::RenewRequest& request)
+{
+    const auto response = call(&Stub::Renew, request, renewTimeout);
+    return response.outcome().code() == schema::Outcome::CODE_OK;
+}
+
+void GrpcFleetClient::leave(const Registration& registration, bool draining)
+{
+    schema::LeaveRequest request;
+    request.set_server_id(registration.serverId);
+    request.set_incarnation(registration.incarnation);
+    request.set_draining(draining);
+    call(&Stub::Leave, request, leaveTimeout);
+}
+
+} // namespace clementinesill::fleet
