Merge and check the operators' folder; check, apply, zone, status; checked settings

Cause: operators had no command line, and settings went through protobuf's JSON reader, whose errors name neither line nor remedy. Ruled out: the JSON library's tree (it keeps no positions and drops duplicate keys); a second checker for the daemons' settings. Change: SchemaReader reads JSON with comments into any schema message by its descriptor and knows the line of each key; mergeOperatorFolder and loadDaemonSettings stand on it. ConfigError carries fault, file, line, key, remedy. Seen failing, each with its mechanism off: sort by name, duplicate records, shared addresses, duplicate keys, units, effect of lost answers, leader hint, repeated events, check before apply, address in use, line of a number at a line end, nesting limit, plain gRPC off loopback.

--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -75,7 +75,7 @@
             std::cerr << options.help();
             return exitUsage;
         }
-        const auto settings = operators::loadDaemonSettings(arguments["settings"].as<std::string>());
+        const auto settings = operators::loadDaemonSettings(arguments["settings"].as<std::string>(), { .tryAddresses = true });
         if (arguments.count("check"))
             return exitOk;
         configureLog({ .json = settings.log().format() != "text", .file = settings.log().file(), .daemon = settings.name() });
--- a/src/app/operatormain.cpp
+++ b/src/app/operatormain.cpp
@@ -1,7 +1,25 @@
+#include "foundation/seededrandom.h"
+#include "foundation/systemclock.h"
+#include "operators/commandline.h"
+
 #include <iostream>
+#include <thread>
+#include <vector>
+
+using namespace clementinesill;
 
-int main()
+int main(int argc, char** argv)
 {
-    std::cerr << "clementinesill: no commands yet\n";
-    return 2;
+    const SystemClock clock;
+    auto random = SeededRandom::fromEntropy();
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    return operators::runCommandLine(arguments,
+        {
+            .out = std::cout,
+            .err = std::cerr,
+            .clock = clock,
+            .random = random,
+            .pause = [](Duration duration) { std::this_thread::sleep_for(duration); },
+            .stopped = [] { return false; },
+        });
 }
--- /dev/null
+++ b/src/operators/internal/changecommands.cpp
@@ -0,0 +1,78 @@
+#include "operators/internal/changecommands.h"
+
+#include "control.pb.h"
+#include "foundation/error.h"
+#include "operators/controllerclient.h"
+#include "operators/foldermerge.h"
+#include "operators/internal/folderchange.h"
+#include "operators/internal/invocation.h"
+#include "operators/internal/printer.h"
+#include "operators/internal/texttable.h"
+
+namespace clementinesill::operators {
+
+namespace {
+
+std::string revisionText(std::uint64_t revision, std::uint64_t version)
+{
+    return "revision " + std::to_string(revision) + ", table version " + std::to_string(version);
+}
+
+std::string requestId(Invocation& invocation)
+{
+    const auto& given = invocation.options().requestId;
+    return given.empty() ? invocation.controllers().makeRequestId() : given;
+}
+
+std::uint64_t baseRevision(Invocation& invocation)
+{
+    const auto& given = invocation.options().baseRevision;
+    return given ? *given : invocation.controllers().readConfig().revision();
+}
+
+schema::ZoneState zoneState(const std::string& word)
+{
+    if (word == "in")
+        return schema::ZONE_STATE_IN;
+    if (word == "out")
+        return schema::ZONE_STATE_OUT;
+    throw Error(ErrorKind::InvalidArgument, "'" + word + "' is no state of an availability zone", "write `zone in NAME` or `zone out NAME`");
+}
+
+} // namespace
+
+void runCheck(Invocation& invocation)
+{
+    const auto config = mergeOperatorFolder(readOperatorFolder(invocation.arguments()[0]));
+    schema::Table merged;
+    merged.mutable_services()->Assign(config.services.begin(), config.services.end());
+    merged.mutable_zones()->Assign(config.zones.begin(), config.zones.end());
+    const auto text = "valid: " + std::to_string(config.services.size()) + " services, " + std::to_string(config.zones.size()) + " availability zones";
+    invocation.printer().print(merged, text);
+}
+
+void runApply(Invocation& invocation)
+{
+    const auto change = applyFolder(invocation, readOperatorFolder(invocation.arguments()[0]));
+    schema::ChangeResponse result;
+    result.mutable_outcome()->set_code(schema::Outcome::CODE_OK);
+    result.set_revision(change.revision);
+    result.set_version(change.version);
+    const auto text = change.changed ? "accepted: " + revisionText(change.revision, change.version) : "already in force: revision " + std::to_string(change.revision);
+    invocation.printer().print(result, text);
+}
+
+void runZone(Invocation& invocation)
+{
+    const auto& arguments = invocation.arguments();
+    schema::SetZoneRequest request;
+    request.set_state(zoneState(arguments[0]));
+    request.set_zone(arguments[1]);
+    request.set_operator_name(invocation.options().operatorName);
+    request.set_request_id(requestId(invocation));
+    request.set_base_revision(baseRevision(invocation));
+    const auto response = invocation.controllers().setZone(request);
+    invocation.printer().print(response, "accepted: availability zone " + arguments[1] + " " + arguments[0] + ", " + revisionText(response.revision(), response.version()));
+}
+
+} // namespace clementinesill::operators
--- /dev/null
+++ b/src/operators/internal/commandarguments.cpp
@@ -0,0 +1,138 @@
+#include "operators/internal/commandarguments.h"
+
+#include "foundation/error.h"
+#include "operators/internal/durationtext.h"
+#include "operators/settings.h"
+
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <filesystem>
+
+namespace clementinesill::operators {
+
+namespace {
+
+cxxopts::Options makeOptions()
+{
+    cxxopts::Options options("clementinesill");
+    const auto text = [] { return cxxopts::value<std::string>(); };
+    const auto list = [] { return cxxopts::value<std::vector<std::string>>(); };
+    auto add = options.add_options();
+    add("h,help", "print help");
+    add("c,controllers", "gRPC endpoints of the controllers, separated by commas", list(), "A:P,...");
+    add("d,daemon", "admin endpoints of the daemons to ask, separated by commas", list(), "A:P,...");
+    add("config", "client settings; ~/.config/clementinesill/client.json if not given", text(), "FILE");
+    add("o,output", "text or json", text()->default_value("text"), "FORMAT");
+    add("timeout", "time for the whole command, such as 10s", text()->default_value("10s"), "TIME");
+    add("operator", "name that events record; the login name if not given", text(), "NAME");
+    add("request-id", "id of a change that was sent before without an answer", text(), "ID");
+    add("base-revision", "revision the change was made from; the one in force if not given", cxxopts::value<std::uint64_t>(), "N");
+    add("resume", "drain: take new flows again", cxxopts::value<bool>());
+    add("follow", "events: go on until interrupted", cxxopts::value<bool>());
+    add("after", "events: only those with a greater number", cxxopts::value<std::uint64_t>()->default_value("0"), "N");
+    add("interval", "watch: time between looks at the folder", text()->default_value("1s"), "TIME");
+    add("positional", "", list());
+    options.parse_positional("positional");
+    return options;
+}
+
+std::chrono::milliseconds durationOption(const cxxopts::ParseResult& result, const std::string& option)
+{
+    const auto text = result[option].as<std::string>();
+    const auto duration = parseDuration(text);
+    if (!duration || duration->count() == 0)
+        throw Error(ErrorKind::InvalidArgument, "--" + option + " '" + text + "' is no time", "write a number with a unit, such as 10s or 500ms");
+    return *duration;
+}
+
+bool jsonOption(const cxxopts::ParseResult& result)
+{
+    const auto text = result["output"].as<std::string>();
+    if (text != "text" && text != "json")
+        throw Error(ErrorKind::InvalidArgument, "--output '" + text + "' is not known", "write text or json");
+    return text == "json";
+}
+
+template <typename Value>
+Value optionOr(const cxxopts::ParseResult& result, const std::string& option, Value fallback)
+{
+    return result.count(option) ? result[option].as<Value>() : fallback;
+}
+
+CommandArguments convert(const cxxopts::ParseResult& result)
+{
+    CommandArguments arguments;
+    arguments.help = result.count("help") > 0;
+    arguments.positional = optionOr<std::vector<std::string>>(result, "positional", {});
+    arguments.configFile = optionOr<std::string>(result, "config", "");
+    auto& options = arguments.options;
+    options.json = jsonOption(result);
+    options.controllers = optionOr<std::vector<std::string>>(result, "controllers", {});
+    options.daemons = optionOr<std::vector<std::string>>(result, "daemon", {});
+    options.operatorName = optionOr<std::string>(result, "operator", "");
+    options.timeout = durationOption(result, "timeout");
+    options.requestId = optionOr<std::string>(result, "request-id", "");
+    if (result.count("base-revision"))
+        options.baseRevision = result["base-revision"].as<std::uint64_t>();
+    options.resume = result.count("resume") > 0;
+    options.follow = result.count("follow") > 0;
+    options.after = result["after"].as<std::uint64_t>();
+    options.interval = durationOption(result, "interval");
+    return arguments;
+}
+
+std::string environmentVariable(const char* variable)
+{
+    const auto* value = std::getenv(variable);
+    return value ? value : "";
+}
+
+std::string defaultConfigFile()
+{
+    const auto configured = environmentVariable("XDG_CONFIG_HOME");
+    const auto folder = configured.empty() ? environmentVariable("HOME") + "/.config" : configured;
+    return folder + "/clementinesill/client.json";
+}
+
+} // namespace
+
+CommandArguments parseArguments(std::span<const std::string> arguments)
+{
+    std::vector<const char*> pointers { "clementinesill" };
+    for (const auto& argument : arguments)
+        pointers.push_back(argument.c_str());
+    try {
+        return convert(makeOptions().parse(static_cast<int>(pointers.size()), pointers.data()));
+    } catch (const cxxopts::exceptions::exception& error) {
+        throw Error(ErrorKind::InvalidArgument, error.what(), "see `clementinesill COMMAND --help`");
+    }
+}
+
+CommandOptions withClientSettings(const CommandArguments& arguments)
+{
+    auto options = arguments.options;
+    const auto file = arguments.configFile.empty() ? defaultConfigFile() : arguments.configFile;
+    schema::ClientSettings settings;
+    std::error_code ignored;
+    if (!arguments.configFile.empty() || std::filesystem::exists(file, ignored))
+        settings = loadClientSettings(file);
+    if (options.controllers.empty())
+        options.controllers.assign(settings.controllers().begin(), settings.controllers().end());
+    if (options.daemons.empty())
+        options.daemons.assign(settings.daemons().begin(), settings.daemons().end());
+    if (options.operatorName.empty())
+        options.operatorName = settings.operator_name().empty() ? environmentVariable("USER") : settings.operator_name();
+    options.certificateFile = settings.tls().certificate_file();
+    options.keyFile = settings.tls().key_file();
+    options.authorityFile = settings.tls().authority_file();
+    return options;
+}
+
+std::string optionHelp()
+{
+    const auto text = makeOptions().help();
+    const auto start = text.find("  -h");
+    return "Options:\n" + (start == std::string::npos ? text : text.substr(start));
+}
+
+} // namespace clementinesill::operators
--- /dev/null
+++ b/src/operators/internal/controllerclient.cpp
@@ -0,0 +1,147 @@
+#include "operators/controllerclient.h"
+
+#include "control.pb.h"
+#include "foundation/error.h"
+#include "foundation/irandom.h"
+#include "operators/internal/attemptlog.h"
+#include "operators/ioperatorschannel.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace clementinesill::operators {
+
+namespace {
+
+constexpr std::chrono::milliseconds firstBackoff { 50 };
+constexpr std::chrono::milliseconds longestBackoff { 1'000 };
+
+std::string seconds(std::chrono::milliseconds duration)
+{
+    std::ostringstream text;
+    text << static_cast<double>(duration.count()) / 1000 << " s";
+    return text.str();
+}
+
+} // namespace
+
+ControllerClient::ControllerClient(IOperatorsChannel& channel, const IClock& clock, IRandom& random, ControllerClientOptions options)
+    : m_channel(channel)
+    , m_clock(clock)
+    , m_random(random)
+    , m_options(std::move(options))
+{
+    if (m_options.controllers.empty())
+        throw Error(ErrorKind::InvalidArgument, "no controllers are known", "name them with --controllers or in the client settings");
+}
+
+const std::string& ControllerClient::nextController()
+{
+    return m_options.controllers[m_next++ % m_options.controllers.size()];
+}
+
+// Full jitter, so that clients that failed together do not come back together.
+void ControllerClient::backOff(unsigned attempt)
+{
+    constexpr unsigned maximumShift = 8;
+    const auto ceiling = std::min(longestBackoff, firstBackoff * (1U << std::min(attempt, maximumShift)));
+    m_options.pause(std::chrono::milliseconds(1 + m_random.below(static_cast<std::uint64_t>(ceiling.count()))));
+}
+
+template <typename Request, typename Response>
+Response ControllerClient::call(Response (IOperatorsChannel::*method)(const std::string&, const Request&, std::chrono::milliseconds), const Request& request, const std::string& requestId)
+{
+    const auto deadline = m_clock.now() + m_options.timeout;
+    AttemptLog attempts;
+    auto controller = nextController();
+    for (unsigned attempt = 0; m_clock.now() < deadline; ++attempt) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - m_clock.now());
+        try {
+            auto response = (m_channel.*method)(controller, request, std::min(left, m_options.attemptTimeout));
+            if (attempts.note(response.outcome()))
+                return response;
+        } catch (const Error& error) {
+            attempts.note(error);
+        }
+        controller = attempts.takeLeaderHint();
+        if (!controller.empty() && !attempt)
+            continue;
+        backOff(attempt);
+        if (controller.empty())
+            controller = nextController();
+    }
+    fail(attempts, requestId);
+}
+
+void ControllerClient::fail(const AttemptLog& attempts, const std::string& requestId) const
+{
+    const auto problem = "no controller answered within " + seconds(m_options.timeout) + ", the last: " + attempts.lastProblem();
+    if (attempts.effectUnknown() && !requestId.empty())
+        throw Error(ErrorKind::Timeout, "the change may or may not be accepted: " + problem, "run the same command with --request-id " + requestId + ", which has one effect at most");
+    throw Error(ErrorKind::Unavailable, problem, "check that a majority of the controllers runs and that --controllers names them");
+}
+
+schema::ChangeResponse ControllerClient::apply(const schema::ApplyRequest& request)
+{
+    return call(&IOperatorsChannel::apply, request, request.request_id());
+}
+
+schema::ChangeResponse ControllerClient::setZone(const schema::SetZoneRequest& request)
+{
+    return call(&IOperatorsChannel::setZone, request, request.request_id());
+}
+
+schema::ChangeResponse ControllerClient::drainServer(const schema::DrainServerRequest& request)
+{
+    return call(&IOperatorsChannel::drainServer, request, request.request_id());
+}
+
+schema::ReadConfigResponse ControllerClient::readConfig()
+{
+    return call(&IOperatorsChannel::readConfig, schema::ReadConfigRequest(), "");
+}
+
+schema::StatusResponse ControllerClient::status()
+{
+    return call(&IOperatorsChannel::status, schema::StatusRequest(), "");
+}
+
+void ControllerClient::events(std::uint64_t after, bool follow, const std::function<bool(const schema::Event&)>& handle)
+{
+    auto deadline = m_clock.now() + m_options.timeout;
+    schema::EventsRequest request;
+    request.set_after(after);
+    request.set_follow(follow);
+    bool wanted = true;
+    AttemptLog attempts;
+    const auto handleOnce = [&](const schema::Event& event) {
+        if (event.number() <= request.after())
+            return true;
+        request.set_after(event.number());
+        deadline = m_clock.now() + m_options.timeout;
+        wanted = handle(event);
+        return wanted;
+    };
+    for (unsigned attempt = 0; m_clock.now() < deadline; ++attempt) {
+        try {
+            m_channel.events(nextController(), request, handleOnce);
+            if (!wanted || !follow)
+                return;
+        } catch (const Error& error) {
+            attempts.note(error);
+        }
+        backOff(attempt);
+    }
+    throw Error(ErrorKind::Unavailable, "no controller hands over events, the last: " + attempts.lastProblem(), "check that a majority of the controllers runs");
+}
+
+std::string ControllerClient::makeRequestId()
+{
+    constexpr int digits = 16;
+    std::ostringstream id;
+    id << std::hex << std::setfill('0') << std::setw(digits) << m_random.next() << std::setw(digits) << m_random.next();
+    return id.str();
+}
+
+} // namespace clementinesill::operators
--- /dev/null
+++ b/src/operators/internal/invocation.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "operators/commandline.h"
+#include "operators/types/commandoptions.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace clementinesill::operators {
+
+class ControllerClient;
+class IOperatorsChannel;
+class Printer;
+
+// One run of a command: its arguments and options, and what it works with.
+class Invocation {
+public:
+    Invocation(std::vector<std::string> arguments, CommandOptions options, Printer& printer, const CommandEnvironment& environment);
+    ~Invocation();
+
+    const std::vector<std::string>& arguments() const { return m_arguments; }
+    const CommandOptions& options() const { return m_options; }
+    const CommandEnvironment& environment() const { return m_environment; }
+    Printer& printer() const { return m_printer; }
+
+    // Made on first use. Throws Error (InvalidArgument) if no controllers are known.
+    ControllerClient& controllers();
+
+private:
+    std::vector<std::string> m_arguments;
+    CommandOptions m_options;
+    Printer& m_printer;
+    const CommandEnvironment& m_environment;
+    std::unique_ptr<IOperatorsChannel> m_channel;
+    std::unique_ptr<ControllerClient> m_client;
+};
+
+} // namespace clementinesill::operators
--- /dev/null
+++ b/src/operators/internal/jsonnode.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace clementinesill::operators {
+
+struct JsonMember;
+
+// One value of a JSON text with the line it stands on.
+struct JsonNode {
+    enum class Type {
+        Null,
+        Boolean,
+        Integer,
+        Fraction,
+        String,
+        Array,
+        Object,
+    };
+
+    Type type = Type::Null;
+    // From 1.
+    int line = 0;
+    bool boolean = false;
+    // Value of an Integer that is not negative; negative ones have type Fraction.
+    std::uint64_t integer = 0;
+    std::string text;
+    std::vector<JsonNode> items;
+    std::vector<JsonMember> members;
+};
+
+// One key of an object with its value; keys are in the order of the text and may repeat.
+struct JsonMember {
+    std::string key;
+    int line = 0;
+    JsonNode value;
+};
+
+} // namespace clementinesill::operators
--- /dev/null
+++ b/src/operators/internal/jsonparser.cpp
@@ -0,0 +1,164 @@
+#include "operators/internal/jsonparser.h"
+
+#include "operators/configerror.h"
+
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace clementinesill::operators {
+
+namespace {
+
+constexpr std::size_t maximumBytes = 1 << 20;
+constexpr std::size_t maximumDepth = 16;
+
+// Counts the lines that the parser has consumed. The library's handler interface passes no positions.
+struct ReadPosition {
+    int line = 1;
+    char last = 0;
+
+    // A number ends one character late; a line feed there belongs to the next line.
+    int lineOfValue() const { return last == '\n' ? line - 1 : line; }
+};
+
+class CountingIterator {
+public:
+    using iterator_category = std::input_iterator_tag;
+    using value_type = char;
+    using difference_type = std::ptrdiff_t;
+    using pointer = const char*;
+    using reference = const char&;
+
+    CountingIterator(const char* current, ReadPosition* position)
+        : m_current(current)
+        , m_position(position)
+    {
+    }
+
+    reference operator*() const { return *m_current; }
+    bool operator==(const CountingIterator& other) const { return m_current == other.m_current; }
+
+    CountingIterator& operator++()
+    {
+        m_position->last = *m_current;
+        if (*m_current == '\n')
+            ++m_position->line;
+        ++m_current;
+        return *this;
+    }
+
+    CountingIterator operator++(int)
+    {
+        const auto before = *this;
+        ++*this;
+        return before;
+    }
+
+private:
+    const char* m_current;
+    ReadPosition* m_position;
+};
+
+// Builds the tree from the parser's events.
+class TreeBuilder final : public nlohmann::json_sax<nlohmann::json> {
+public:
+    TreeBuilder(const std::string& file, ErrorKind kind, const ReadPosition& position)
+        : m_file(file)
+        , m_kind(kind)
+        , m_position(position)
+    {
+    }
+
+    JsonNode takeRoot() { return std::move(m_root); }
+
+    bool null() override { return add({ .type = JsonNode::Type::Null }); }
+    bool boolean(bool value) override { return add({ .type = JsonNode::Type::Boolean, .boolean = value }); }
+    bool number_integer(number_integer_t) override { return add({ .type = JsonNode::Type::Fraction }); }
+    bool number_unsigned(number_unsigned_t value) override { return add({ .type = JsonNode::Type::Integer, .integer = value }); }
+    bool number_float(number_float_t, const string_t&) override { return add({ .type = JsonNode::Type::Fraction }); }
+    bool string(string_t& value) override { return add({ .type = JsonNode::Type::String, .text = value }); }
+    bool binary(binary_t&) override { return false; }
+    bool start_object(std::size_t) override { return open({ .type = JsonNode::Type::Object }); }
+    bool start_array(std::size_t) override { return open({ .type = JsonNode::Type::Array }); }
+    bool end_object() override { return close(); }
+    bool end_array() override { return close(); }
+
+    bool key(string_t& value) override
+    {
+        m_open.back()->members.push_back({ .key = value, .line = m_position.lineOfValue(), .value = {} });
+        return true;
+    }
+
+    bool parse_error(std::size_t, const std::string& token, const nlohmann::json::exception& error) override
+    {
+        const std::string message = error.what();
+        const auto detail = message.find(": ");
+        const auto problem = "not valid JSON near '" + printable(token) + "'" + (detail == std::string::npos ? "" : message.substr(detail));
+        throw ConfigError(m_kind, ConfigFault::Syntax, { .file = m_file, .line = m_position.lineOfValue() }, printable(problem), "correct the JSON there");
+    }
+
+private:
+    // Keeps an error in one line and free of control characters.
+    static std::string printable(const std::string& text)
+    {
+        std::string result;
+        for (const char character : text)
+            result += static_cast<unsigned char>(character) < ' ' || character == '\x7f' ? ' ' : character;
+        return result;
+    }
+
+    JsonNode* place(JsonNode&& node)
+    {
+        node.line = m_position.lineOfValue();
+        JsonNode* target = &m_root;
+        if (!m_open.empty() && m_open.back()->type == JsonNode::Type::Object)
+            target = &m_open.back()->members.back().value;
+        else if (!m_open.empty())
+            target = &m_open.back()->items.emplace_back();
+        *target = std::move(node);
+        return target;
+    }
+
+    bool add(JsonNode&& node)
+    {
+        place(std::move(node));
+        return true;
+    }
+
+    bool open(JsonNode&& node)
+    {
+        if (m_open.size() == maximumDepth)
+            throw ConfigError(m_kind, ConfigFault::TooLarge, { .file = m_file, .line = m_position.line }, "nested too deeply", "use at most " + std::to_string(maximumDepth) + " levels");
+        m_open.push_back(place(std::move(node)));
+        return true;
+    }
+
+    bool close()
+    {
+        m_open.pop_back();
+        return true;
+    }
+
+    const std::string& m_file;
+    ErrorKind m_kind;
+    const ReadPosition& m_position;
+    JsonNode m_root;
+    // Containers from the root to the one being filled; an outer one does not grow meanwhile, so pointers stay valid.
+    std::vector<JsonNode*> m_open;
+};
+
+} // namespace
+
+JsonNode parseJson(const std::string& file, std::string_view text, ErrorKind kind)
+{
+    if (text.size() > maximumBytes)
+        throw ConfigError(kind, ConfigFault::TooLarge, { .file = file }, "longer than " + std::to_string(maximumBytes) + " bytes", "split the file");
+    ReadPosition position;
+    TreeBuilder builder(file, kind, position);
+    const CountingIterator first(text.data(), &position);
+    const CountingIterator last(text.data() + text.size(), &position);
+    nlohmann::json::sax_parse(first, last, &builder, nlohmann::json::input_format_t::json, true, true);
+    return builder.takeRoot();
+}
+
+} // namespace clementinesill::operators
--- /dev/null
+++ b/src/operators/internal/readcommands.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace clementinesill::operators {
+
+class Invocation;
+
+// Commands that read from the controllers. Each throws Error on failure.
+void runStatus(Invocation& invocation);
+
+} // namespace clementinesill::operators
--- a/src/operators/internal/settings.cpp
+++ b/src/operators/internal/settings.cpp
@@ -1,27 +1,206 @@
 #include "operators/settings.h"
 
-#include "foundation/error.h"
+#include "foundation/types/endpoint.h"
+#include "operators/configerror.h"
+#include "operators/internal/listentrial.h"
+#include "operators/internal/settingschecker.h"
 
+#include <array>
 #include <fstream>
-#include <google/protobuf/util/json_util.h>
-#include <nlohmann/json.hpp>
+#include <iterator>
 
 namespace clementinesill::operators {
 
-schema::DaemonSettings loadDaemonSettings(const std::string& path)
+namespace {
+
+constexpr std::uint32_t maximumWorkerThreads = 64;
+constexpr std::uint32_t maximumFlowCacheEntries = 1 << 24;
+constexpr std::uint32_t maximumSlots = 100'000;
+constexpr std::uint32_t maximumConnections = 1'000'000;
+constexpr std::uint32_t maximumWeight = 1'000;
+constexpr std::uint32_t fastestHealthIntervalMs = 10;
+constexpr std::uint32_t slowestHealthIntervalMs = 60'000;
+constexpr std::uint32_t shortestServerLeaseMs = 100;
+constexpr std::uint32_t longestServerLeaseMs = 600'000;
+constexpr std::uint32_t maximumSnapshotEntries = 10'000'000;
+constexpr int maximumControllers = 7;
+constexpr std::uint32_t loopbackNetwork = 127;
+
+std::string readText(const std::string& path)
 {
-    std::ifstream file(path);
+    std::ifstream file(path, std::ios::binary);
+    std::string text { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
     if (!file)
-        throw Error(ErrorKind::InvalidSettings, "cannot read '" + path + "'", "name an existing settings file");
-    schema::DaemonSettings settings;
-    try {
-        const auto json = nlohmann::json::parse(file, nullptr, true, true);
-        const auto status = google::protobuf::util::JsonStringToMessage(json.dump(), &settings);
-        if (!status.ok())
-            throw Error(ErrorKind::InvalidSettings, path + ": " + status.ToString(), "correct the key");
-    } catch (const nlohmann::json::exception& error) {
-        throw Error(ErrorKind::InvalidSettings, path + ": " + error.what(), "correct the JSON");
+        throw ConfigError(ErrorKind::InvalidSettings, ConfigFault::Unreadable, { .file = path }, "cannot be read", "name an existing file and check its permissions");
+    return text;
+}
+
+std::string itemKey(const std::string& list, int index)
+{
+    return list + "[" + std::to_string(index) + "]";
+}
+
+void checkBalancer(const SettingsChecker& check, const schema::DaemonSettings& settings)
+{
+    const auto& balancer = settings.balancer();
+    check.require({ "zone", "controllers", "balancer.dataEndpoint" });
+    check.endpoint("balancer.dataEndpoint", balancer.data_endpoint());
+    check.range("balancer.workerThreads", balancer.worker_threads(), 1, maximumWorkerThreads);
+    check.range("balancer.flowCacheEntries", balancer.flow_cache_entries(), 1, maximumFlowCacheEntries);
+    check.choice("balancer.strategy", balancer.strategy(), { "rendezvous", "rank-only", "round-robin" });
+}
+
+void checkPath(const SettingsChecker& check, const std::string& key, const std::string& path)
+{
+    if (check.reader().given(key) && !path.starts_with('/'))
+        check.reader().fail(ConfigFault::UnknownValue, key, "'" + path + "' is no HTTP path", "write a path that begins with /");
+}
+
+void checkAgent(const SettingsChecker& check, const schema::DaemonSettings& settings)
+{
+    const auto& agent = settings.agent();
+    check.require({ "zone", "controllers", "agent.dataEndpoint", "agent.service", "agent.serverEndpoint", "agent.slots", "agent.connectionLimit" });
+    check.endpoint("agent.dataEndpoint", agent.data_endpoint());
+    check.endpoint("agent.serverEndpoint", agent.server_endpoint());
+    check.recordName("agent.service", agent.service());
+    check.range("agent.slots", agent.slots(), 1, maximumSlots);
+    check.range("agent.connectionLimit", agent.connection_limit(), 1, maximumConnections);
+    check.range("agent.weight", agent.weight(), 1, maximumWeight);
+    check.range("agent.healthIntervalMs", agent.health_interval_ms(), fastestHealthIntervalMs, slowestHealthIntervalMs);
+    checkPath(check, "agent.healthPath", agent.health_path());
+    checkPath(check, "agent.loadPath", agent.load_path());
+}
+
+// The group's list must hold this controller itself, once, under the endpoint that it serves.
+void checkPeers(const SettingsChecker& check, const schema::DaemonSettings& settings)
+{
+    const auto& peers = settings.controller().peers();
+    const std::string list = "controller.peers";
+    if (peers.empty() || peers.size() > maximumControllers)
+        check.reader().fail(ConfigFault::OutOfRange, list, "names " + std::to_string(peers.size()) + " controllers", "name 1 to " + std::to_string(maximumControllers));
+    bool foundSelf = false;
+    for (int index = 0; index < peers.size(); ++index) {
+        const auto key = itemKey(list, index);
+        check.require(key + ".name");
+        check.require(key + ".endpoint");
+        check.recordName(key + ".name", peers[index].name());
+        check.endpoint(key + ".endpoint", peers[index].endpoint());
+        for (int earlier = 0; earlier < index; ++earlier) {
+            if (peers[earlier].name() == peers[index].name() || peers[earlier].endpoint() == peers[index].endpoint())
+                check.reader().fail(ConfigFault::DuplicateRecord, key + ".name", "has the name or endpoint of " + itemKey(list, earlier), "give each controller its own");
+        }
+        foundSelf = foundSelf || (peers[index].name() == settings.name() && peers[index].endpoint() == settings.controller().endpoint());
     }
+    if (!foundSelf)
+        check.reader().fail(ConfigFault::MissingKey, list, "does not hold this controller", "add '" + settings.name() + "' with endpoint " + settings.controller().endpoint());
+}
+
+void checkController(const SettingsChecker& check, const schema::DaemonSettings& settings)
+{
+    const auto& controller = settings.controller();
+    check.require({ "controller.endpoint", "controller.dataFolder", "controller.peers" });
+    check.endpoint("controller.endpoint", controller.endpoint());
+    check.writableFolder("controller.dataFolder", controller.data_folder());
+    check.range("controller.serverLeaseMs", controller.server_lease_ms(), shortestServerLeaseMs, longestServerLeaseMs);
+    check.range("controller.snapshotEntries", controller.snapshot_entries(), 1, maximumSnapshotEntries);
+    checkPeers(check, settings);
+}
+
+struct RoleCheck {
+    schema::DaemonSettings::RoleCase role;
+    void (*check)(const SettingsChecker&, const schema::DaemonSettings&);
+};
+
+constexpr std::array<RoleCheck, 3> roleChecks { {
+    { schema::DaemonSettings::kBalancer, &checkBalancer },
+    { schema::DaemonSettings::kAgent, &checkAgent },
+    { schema::DaemonSettings::kController, &checkController },
+} };
+
+void checkControllers(const SettingsChecker& check, const google::protobuf::RepeatedPtrField<std::string>& controllers)
+{
+    for (int index = 0; index < controllers.size(); ++index)
+        check.endpoint(itemKey("controllers", index), controllers[index]);
+    if (check.reader().given("controllers") && controllers.empty())
+        check.reader().fail(ConfigFault::MissingKey, "controllers", "names no controller", "name the gRPC endpoint of each controller");
+}
+
+// Without key files gRPC is plain text, which must not leave the VM.
+void checkPlain(const SettingsChecker& check, const std::string& key, const std::string& endpoint)
+{
+    if (!check.reader().given(key) || parseEndpoint(endpoint).address >> 24 == loopbackNetwork)
+        return;
+    check.reader().fail(ConfigFault::PlainOffLoopback, key, "gRPC without TLS to " + endpoint + " would leave the VM", "add tls with certificateFile, keyFile and authorityFile");
+}
+
+void checkPlainEndpoints(const SettingsChecker& check, const schema::DaemonSettings& settings)
+{
+    if (check.reader().given("tls"))
+        return;
+    for (int index = 0; index < settings.controllers_size(); ++index)
+        checkPlain(check, itemKey("controllers", index), settings.controllers(index));
+    checkPlain(check, "controller.endpoint", settings.controller().endpoint());
+    for (int index = 0; index < settings.controller().peers_size(); ++index)
+        checkPlain(check, itemKey("controller.peers", index) + ".endpoint", settings.controller().peers(index).endpoint());
+}
+
+void checkCommon(const SettingsChecker& check, const schema::DaemonSettings& settings)
+{
+    check.require("name");
+    check.recordName("name", settings.name());
+    if (check.reader().given("zone"))
+        check.recordName("zone", settings.zone());
+    checkControllers(check, settings.controllers());
+    check.choice("log.level", settings.log().level(), { "debug", "info", "warn", "error" });
+    check.choice("log.format", settings.log().format(), { "json", "text" });
+    check.endpoint("admin.endpoint", settings.admin().endpoint());
+    check.tls(settings.tls());
+}
+
+void checkDaemon(const SettingsChecker& check, const schema::DaemonSettings& settings)
+{
+    checkCommon(check, settings);
+    if (settings.role_case() == schema::DaemonSettings::ROLE_NOT_SET)
+        check.reader().fail(ConfigFault::MissingRole, "", "no role is given", "add one of balancer, agent, controller");
+    for (const auto& candidate : roleChecks) {
+        if (candidate.role == settings.role_case())
+            candidate.check(check, settings);
+    }
+    checkPlainEndpoints(check, settings);
+}
+
+void tryAddresses(const SchemaReader& reader, const schema::DaemonSettings& settings)
+{
+    ListenTrial trial(reader);
+    trial.tcp("admin.endpoint", settings.admin().endpoint());
+    trial.tcp("controller.endpoint", settings.controller().endpoint());
+    trial.udp("balancer.dataEndpoint", settings.balancer().data_endpoint());
+    trial.udp("agent.dataEndpoint", settings.agent().data_endpoint());
+}
+
+} // namespace
+
+schema::DaemonSettings loadDaemonSettings(const std::string& path, const SettingsOptions& options)
+{
+    SchemaReader reader(path, ErrorKind::InvalidSettings);
+    schema::DaemonSettings settings;
+    reader.read(readText(path), settings);
+    checkDaemon(SettingsChecker(reader), settings);
+    if (options.tryAddresses)
+        tryAddresses(reader, settings);
+    return settings;
+}
+
+schema::ClientSettings loadClientSettings(const std::string& path)
+{
+    SchemaReader reader(path, ErrorKind::InvalidSettings);
+    schema::ClientSettings settings;
+    reader.read(readText(path), settings);
+    const SettingsChecker check(reader);
+    checkControllers(check, settings.controllers());
+    for (int index = 0; index < settings.daemons_size(); ++index)
+        check.endpoint(itemKey("daemons", index), settings.daemons(index));
+    check.tls(settings.tls());
     return settings;
 }
 
--- /dev/null
+++ b/src/operators/tests/settings.cpp
@@ -0,0 +1,181 @@
+#include "operators/settings.h"
+
+#include "operators/configerror.h"
+
+#include <CppUTest/TestHarness.h>
+#include <filesystem>
+#include <fstream>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace clementinesill;
+using namespace clementinesill::operators;
+
+namespace {
+
+constexpr std::uint16_t usedPort = 23050;
+constexpr auto usedEndpoint = "127.0.0.1:23050";
+
+// A socket that holds usedEndpoint.
+class BoundSocket {
+public:
+    explicit BoundSocket(int type)
+        : m_socket(socket(AF_INET, type, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(usedPort);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (bind(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
+            FAIL("the test's port is in use");
+        listen(m_socket, 1);
+    }
+    ~BoundSocket() { close(m_socket); }
+
+private:
+    int m_socket;
+};
+
+const std::string balancer = R"({"name":"b1","zone":"mandaue","controllers":["127.0.0.1:7000"],
+"balancer":{"dataEndpoint":"127.0.0.1:23050"}})";
+const std::string agent = R"({"name":"a1","zone":"mandaue","controllers":["127.0.0.1:7000"],
+"agent":{"dataEndpoint":"127.0.0.1:23050","service":"orders","serverEndpoint":"127.0.0.1:8080","slots":5,"connectionLimit":2000}})";
+const std::string controller = R"({"name":"c1",
+"controller":{"endpoint":"127.0.0.1:23050","dataFolder":"/tmp","peers":[
+{"name":"c1","endpoint":"127.0.0.1:23050"},{"name":"c2","endpoint":"127.0.0.1:23052"}]}})";
+
+// One change of valid settings that must be refused.
+struct Refusal {
+    const std::string& base;
+    const char* replaced;
+    const char* by;
+    ConfigFault fault;
+    int line;
+    const char* key;
+};
+
+} // namespace
+
+TEST_GROUP(Settings)
+{
+    std::string file;
+
+    void setup() override
+    {
+        char path[] = "/tmp/clementinesill-test-XXXXXX";
+        file = std::string(mkdtemp(path)) + "/daemon.json";
+    }
+
+    void teardown() override { std::filesystem::remove_all(std::filesystem::path(file).parent_path()); }
+
+    std::optional<ConfigError> errorOf(const std::string& text, const SettingsOptions& options = {})
+    {
+        std::ofstream(file) << text;
+        try {
+            loadDaemonSettings(file, options);
+        } catch (const ConfigError& error) {
+            return error;
+        }
+        return std::nullopt;
+    }
+
+    void checkRefused(const Refusal& refusal)
+    {
+        auto text = refusal.base;
+        const auto place = text.find(refusal.replaced);
+        CHECK_TRUE_TEXT(place != std::string::npos, refusal.replaced);
+        text.replace(place, std::string(refusal.replaced).size(), refusal.by);
+        const auto error = errorOf(text);
+        CHECK_TRUE_TEXT(error.has_value(), refusal.by);
+        STRCMP_EQUAL_TEXT(std::string(name(refusal.fault)).c_str(), std::string(name(error->fault())).c_str(), error->what());
+        LONGS_EQUAL_TEXT(refusal.line, error->position().line, error->what());
+        STRCMP_EQUAL_TEXT(refusal.key, error->position().key.c_str(), error->what());
+        STRCMP_EQUAL(file.c_str(), error->position().file.c_str());
+        CHECK_TRUE_TEXT(error->kind() == (refusal.fault == ConfigFault::Ipv6Address ? ErrorKind::Unsupported : ErrorKind::InvalidSettings), error->what());
+        CHECK_TRUE_TEXT(!error->remedy().empty(), error->what());
+    }
+};
+
+TEST(Settings, ValidSettingsOfEachRoleAreAccepted)
+{
+    for (const auto* text : { &balancer, &agent, &controller }) {
+        const auto error = errorOf(*text);
+        CHECK_TRUE_TEXT(!error.has_value(), error ? error->what() : "");
+    }
+}
+
+TEST(Settings, EachFaultIsNamedWithLineAndKey)
+{
+    const Refusal refusals[] = {
+        { balancer, "\"zone\"", "\"zones\"", ConfigFault::UnknownKey, 1, "zones" },
+        { agent, "\"slots\":5", "\"slots\":5,\n\"slots\":6", ConfigFault::DuplicateKey, 3, "agent.slots" },
+        { agent, "\"slots\":5", "\"slots\":\"5\"", ConfigFault::WrongType, 2, "agent.slots" },
+        { agent, "\"slots\":5", "\"slots\":-5", ConfigFault::WrongType, 2, "agent.slots" },
+        { agent, "\"slots\":5", "\"slots\":0", ConfigFault::OutOfRange, 2, "agent.slots" },
+        { agent, "\"slots\":5,", "", ConfigFault::MissingKey, 2, "agent.slots" },
+        { agent, "\"slots\":5", "\"slots\":5,\"healthIntervalMs\":\"3s\"", ConfigFault::WrongUnit, 2, "agent.healthIntervalMs" },
+        { agent, "\"slots\":5", "\"slots\":5,\"drainTimeoutSeconds\":\"1500ms\"", ConfigFault::WrongUnit, 2, "agent.drainTimeoutSeconds" },
+        { agent, "\"slots\":5", "\"slots\":5,\"healthPath\":\"health\"", ConfigFault::UnknownValue, 2, "agent.healthPath" },
+        { agent, "\"a1\"", "\"A 1\"", ConfigFault::BadName, 1, "name" },
+        { balancer, "\"name\":\"b1\",", "", ConfigFault::MissingKey, 1, "name" },
+        { balancer, "\"balancer\"", "\"agent\":{},\n\"balancer\"", ConfigFault::TwoRoles, 3, "balancer" },
+        { balancer, "127.0.0.1:23050", "127.0.0.1", ConfigFault::BadAddress, 2, "balancer.dataEndpoint" },
+        { balancer, "127.0.0.1:23050", "[::1]:23050", ConfigFault::Ipv6Address, 2, "balancer.dataEndpoint" },
+        { balancer, "127.0.0.1:7000", "10.0.0.1:7000", ConfigFault::PlainOffLoopback, 1, "controllers[0]" },
+        { balancer, "\"name\"", "\"log\":{\"level\":\"loud\"},\"name\"", ConfigFault::UnknownValue, 1, "log.level" },
+        { balancer, "\"name\"", "\"tls\":{\"keyFile\":\"k\"},\"name\"", ConfigFault::MissingKey, 1, "tls.certificateFile" },
+        { balancer, "\"name\"", "\"tls\":{\"keyFile\":\"/none/k\",\n\"certificateFile\":\"/none/c\",\"authorityFile\":\"/none/a\"},\"name\"", ConfigFault::MissingFile, 2, "tls.certificateFile" },
+        { controller, "/tmp", "/none/data", ConfigFault::MissingFolder, 2, "controller.dataFolder" },
+        { controller, "{\"name\":\"c1\",\"endpoint\"", "{\"name\":\"c3\",\"endpoint\"", ConfigFault::MissingKey, 2, "controller.peers" },
+        { controller, "\"c2\"", "\"c1\"", ConfigFault::DuplicateRecord, 3, "controller.peers[1].name" },
+        { controller, "}}", "}", ConfigFault::Syntax, 3, "" },
+    };
+    for (const auto& refusal : refusals)
+        checkRefused(refusal);
+}
+
+TEST(Settings, MissingRoleAndMissingFileAreTyped)
+{
+    CHECK(errorOf(R"({"name":"b1"})")->fault() == ConfigFault::MissingRole);
+    try {
+        loadDaemonSettings("/none/daemon.json");
+        FAIL("accepted");
+    } catch (const ConfigError& error) {
+        CHECK(error.fault() == ConfigFault::Unreadable);
+    }
+}
+
+TEST(Settings, WrongUnitSaysWhichNumberToWrite)
+{
+    auto text = agent;
+    text.replace(text.find("\"slots\":5"), 9, "\"slots\":5,\"healthIntervalMs\":\"3s\"");
+    STRCMP_EQUAL("write 3000 (milliseconds, without quotes)", errorOf(text)->remedy().c_str());
+}
+
+TEST(Settings, AddressInUseIsFoundBeforeAnythingStarts)
+{
+    const SettingsOptions trying { .tryAddresses = true };
+    {
+        const BoundSocket used(SOCK_DGRAM);
+        for (const auto* text : { &balancer, &agent })
+            CHECK(errorOf(*text, trying)->fault() == ConfigFault::AddressInUse);
+        CHECK(!errorOf(controller, trying).has_value());
+    }
+    {
+        const BoundSocket used(SOCK_STREAM);
+        const auto error = errorOf(controller, trying);
+        CHECK(error->fault() == ConfigFault::AddressInUse);
+        LONGS_EQUAL(2, error->position().line);
+        CHECK(!errorOf(balancer, trying).has_value());
+    }
+    CHECK(!errorOf(balancer, trying).has_value());
+}
+
+TEST(Settings, OneAddressForTwoUsesIsInUse)
+{
+    auto text = controller;
+    text.insert(1, std::string("\"admin\":{\"endpoint\":\"") + usedEndpoint + "\"},");
+    CHECK(errorOf(text, { .tryAddresses = true })->fault() == ConfigFault::AddressInUse);
+}
--- /dev/null
+++ b/src/operators/types/configfile.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace clementinesill::operators {
+
+// One file of the operators' folder.
+struct ConfigFile {
+    // Without folder, such as "10-orders.json".
+    std::string name;
+    // JSON with comments; shape of schema message OperatorFile.
+    std::string content;
+};
+
+} // namespace clementinesill::operators
