--- a/src/framework/testing/testmain.cpp
+++ b/src/framework/testing/testmain.cpp
@@ -2,11 +2,10 @@
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestRegistry.h>
 
+// Without the leak plugin: it walks blocks that were allocated before main and may be freed by now, uncounted.
 int main(int argc, char** argv)
 {
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    // Without the leak plugin, which RunAllTests would install: it walks records inside memory that was allocated before
-    // the overloads were turned off and that the libraries have freed since.
     CommandLineTestRunner runner(argc, argv, TestRegistry::getCurrentRegistry());
     return runner.runAllTestsMain();
 }
