Run the whole path: curl through fabric, balancer, agent and server

Cause of three failures on the way, each found by running it: 1. The fabric stand-in died at its first connection: waiting on the lwIP connection's timer with as_tuple(use_awaitable) crashed under g++ 12 (null initiation in Boost's frame, seen in gdb); the same lines alone in a small program do not crash, so the root in compiler or library is not established. redirect_error does the same without the crash. 2. lwIP sends packets for 127.0.0.0/8 back to itself, so services inside the packets use documentation addresses and the fabric maps loopback to them. 3. The demo read curl's output as text, which folds line ends. Ruled out: co_await inside an argument of co_spawn (moved out first; crash stayed). Before: no request answered.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -19,8 +19,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class ServiceSpec:
-    """A service: its address and how many backend servers it has."""
+    """A service: its address inside the packets, where clients reach it on loopback, and how many servers it has."""
     name: str
+    virtual_address: str
     address: str
     port: int
     servers: int
@@ -36,9 +37,9 @@
 
 
 TAHANAN = Size("tahanan", ("mandaue", "lapu-lapu", "talisay"),
-               (ServiceSpec("orders", "127.0.1.10", 8080, 7), ServiceSpec("swatches", "127.0.1.20", 8080, 3)))
+               (ServiceSpec("orders", "198.51.100.10", "127.0.1.10", 8080, 7), ServiceSpec("swatches", "198.51.100.20", "127.0.1.20", 8080, 3)))
 RUSZTOWANIA = Size("rusztowania", ("krk-a", "krk-b", "kat-a"),
-                   (ServiceSpec("filings", "127.0.2.10", 8080, 7), ServiceSpec("sheets", "127.0.2.20", 8080, 3)))
+                   (ServiceSpec("filings", "198.51.100.30", "127.0.2.10", 8080, 7), ServiceSpec("sheets", "198.51.100.40", "127.0.2.20", 8080, 3)))
 
 
 class Failed(Exception):
@@ -207,7 +208,7 @@
         for balancer in self.balancers():
             command += ["--balancer", balancer]
         for service in self.size.services:
-            command += ["--service", f"{service.address}:{service.port}"]
+            command += ["--service", f"{service.address}:{service.port}={service.virtual_address}:{service.port}"]
         self.start_process("fabric", command)
 
     # Operators
@@ -215,7 +216,7 @@
     def operator_folder(self):
         folder = self.folder / "operators"
         folder.mkdir(exist_ok=True)
-        services = [{"name": s.name, "address": s.address, "port": s.port, "protocol": "tcp", "mode": s.mode}
+        services = [{"name": s.name, "address": s.virtual_address, "port": s.port, "protocol": "tcp", "mode": s.mode}
                     for s in self.size.services]
         zones = [{"name": zone} for zone in self.size.zones]
         (folder / "10-services.json").write_text("// Services and their addresses.\n" + json.dumps({"services": services}, indent=4))
@@ -291,12 +292,12 @@
         command += ["--data-binary", body]
     started = time.monotonic()
     result = subprocess.run([*command, f"http://{service.address}:{service.port}{path}"],
-                            capture_output=True, text=True, check=False)
+                            capture_output=True, check=False)
     seconds = time.monotonic() - started
-    head, _, text = result.stdout.partition("\r\n\r\n")
+    head, _, text = result.stdout.decode(errors="replace").partition("\r\n\r\n")
     match = re.match(r"HTTP/1\.\d (\d+)", head)
     status = int(match.group(1)) if match and result.returncode == 0 else 0
-    return Answer(status, text.split(" ")[0] if status == 200 else "", text, seconds, result.stderr.strip(), head)
+    return Answer(status, text.split(" ")[0] if status == 200 else "", text, seconds, result.stderr.decode(errors="replace").strip(), head)
 
 
 class Feed:
--- a/src/agent/internal/flowserver.cpp
+++ b/src/agent/internal/flowserver.cpp
@@ -17,6 +17,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// A named token: g++ 12 ends the life of one made inside a co_await expression too early.
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
 FlowServer::FlowServer(asio::io_context& loop, const FlowServerOptions& options)
     : m_loop(loop)
     , m_options(options)
@@ -44,7 +51,7 @@
 {
     asio::ip::tcp::socket socket(m_loop);
     const asio::ip::tcp::endpoint server(asio::ip::address_v4(m_options.server.address), m_options.server.port);
-    const auto [code] = co_await socket.async_connect(server, asio::as_tuple(asio::use_awaitable));
+    const auto [code] = co_await socket.async_connect(server, useTuple);
     if (code)
         throw Error(ErrorKind::Unavailable, "the backend server at " + format(m_options.server) + " refused: " + code.message(), "start it, or correct agent.serverEndpoint");
     net::SocketStream stream(std::move(socket));
--- /dev/null
+++ b/src/bench/loadmain.cpp
@@ -0,0 +1,239 @@
+// Load tool: sends HTTP requests at a given rate, whatever the answers do (open loop), holds feeds open, and writes one
+// JSON line for each request and feed: what happened and when, in seconds since the start.
+
+#include "foundation/error.h"
+#include "foundation/seededrandom.h"
+#include "foundation/types/endpoint.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cmath>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+using namespace clementinesill;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+// What is sent to one service.
+struct Target {
+    std::string name;
+    Endpoint endpoint;
+    // Requests a second.
+    double rate = 0;
+    int feeds = 0;
+};
+
+struct LoadOptions {
+    std::vector<Target> targets;
+    double seconds = 10;
+    // Share of requests that are POST.
+    double orderShare = 0.2;
+    std::chrono::milliseconds timeout { 5000 };
+    std::size_t maximumOpen = 2000;
+    std::uint64_t seed = 1;
+};
+
+class Load {
+public:
+    Load(asio::io_context& loop, const LoadOptions& options, std::ostream& out)
+        : m_loop(loop)
+        , m_options(options)
+        , m_out(out)
+        , m_random(options.seed)
+        , m_start(std::chrono::steady_clock::now())
+    {
+    }
+
+    void start()
+    {
+        for (const auto& target : m_options.targets) {
+            asio::co_spawn(m_loop, sendRequests(target), asio::detached);
+            for (int index = 0; index < target.feeds; ++index)
+                asio::co_spawn(m_loop, holdFeed(target, index), asio::detached);
+        }
+    }
+
+private:
+    double elapsed() const { return std::chrono::duration<double>(std::chrono::steady_clock::now() - m_start).count(); }
+
+    double uniform() { return (static_cast<double>(m_random.next() >> 11) + 0.5) * 0x1p-53; }
+
+    asio::awaitable<void> sleepUntil(double second)
+    {
+        asio::steady_timer timer(m_loop, m_start + std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(second)));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    // Poisson arrivals.
+    asio::awaitable<void> sendRequests(Target target)
+    {
+        if (target.rate <= 0)
+            co_return;
+        double next = 0;
+        while ((next += -std::log(uniform()) / target.rate) < m_options.seconds) {
+            co_await sleepUntil(next);
+            if (m_open < m_options.maximumOpen)
+                asio::co_spawn(m_loop, sendRequest(target, next), asio::detached);
+            else
+                write({ { "kind", "skipped" }, { "service", target.name }, { "start", next } });
+        }
+    }
+
+    asio::awaitable<void> sendRequest(Target target, double due)
+    {
+        ++m_open;
+        const bool order = uniform() < m_options.orderShare;
+        const auto number = ++m_requests;
+        nlohmann::json record { { "kind", order ? "order" : "read" }, { "service", target.name }, { "due", due }, { "start", elapsed() }, { "status", 0 } };
+        try {
+            beast::tcp_stream stream(m_loop);
+            stream.expires_after(m_options.timeout);
+            co_await stream.async_connect(endpointOf(target), asio::use_awaitable);
+            http::request<http::string_body> request(order ? http::verb::post : http::verb::get, "/item/" + std::to_string(number), 11);
+            request.set(http::field::host, target.name);
+            request.set(http::field::connection, "close");
+            if (order) {
+                request.set("Idempotency-Key", std::to_string(m_options.seed) + "-" + std::to_string(number));
+                request.body() = "order " + std::to_string(number);
+            }
+            request.prepare_payload();
+            co_await http::async_write(stream, request, asio::use_awaitable);
+            beast::flat_buffer buffer;
+            http::response<http::string_body> response;
+            co_await http::async_read(stream, buffer, response, asio::use_awaitable);
+            record["status"] = response.result_int();
+            record["server"] = response.result_int() == 200 ? response.body().substr(0, response.body().find(' ')) : "";
+            record["outcome"] = std::string(response["Clementinesill-Outcome"]);
+            record["retry_after"] = std::string(response["Retry-After"]);
+            record["matched"] = response.result_int() != 200 || response.body().find("/item/" + std::to_string(number) + " ") != std::string::npos;
+        } catch (const boost::system::system_error& error) {
+            record["error"] = error.code().message();
+        }
+        record["end"] = elapsed();
+        write(record);
+        --m_open;
+    }
+
+    asio::awaitable<void> holdFeed(Target target, int index)
+    {
+        // Feeds open over the first seconds, as callers come one by one.
+        co_await sleepUntil(0.02 * index);
+        nlohmann::json record { { "kind", "feed" }, { "service", target.name }, { "start", elapsed() } };
+        std::string server;
+        std::uint64_t lines = 0;
+        bool gap = false;
+        double last = elapsed();
+        double longestSilence = 0;
+        try {
+            asio::ip::tcp::socket socket(m_loop);
+            co_await socket.async_connect(endpointOf(target), asio::use_awaitable);
+            const auto request = "GET /feed HTTP/1.1\r\nHost: " + target.name + "\r\n\r\n";
+            co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+            asio::streambuf buffer;
+            while (elapsed() < m_options.seconds) {
+                const auto line = co_await readLine(socket, buffer);
+                if (!line)
+                    break;
+                const auto space = line->find(' ');
+                if (space == std::string::npos || line->find("HTTP/") == 0 || line->find(':') != std::string::npos)
+                    continue;
+                const auto name = line->substr(0, space);
+                gap = gap || line->substr(space + 1) != std::to_string(lines) || (!server.empty() && server != name);
+                server = name;
+                ++lines;
+                longestSilence = std::max(longestSilence, elapsed() - last);
+                last = elapsed();
+            }
+        } catch (const boost::system::system_error& error) {
+            record["error"] = error.code().message();
+        }
+        longestSilence = std::max(longestSilence, elapsed() - last);
+        record["server"] = server;
+        record["lines"] = lines;
+        record["gap"] = gap;
+        record["longest_silence"] = longestSilence;
+        record["end"] = elapsed();
+        record["whole"] = !record.contains("error") && elapsed() >= m_options.seconds && !gap && lines > 0;
+        write(record);
+    }
+
+    // The next line without its end; nothing once the test's time is over.
+    asio::awaitable<std::optional<std::string>> readLine(asio::ip::tcp::socket& socket, asio::streambuf& buffer)
+    {
+        using namespace asio::experimental::awaitable_operators;
+        const auto result = co_await (asio::async_read_until(socket, buffer, "\r\n", asio::use_awaitable) || sleepUntil(m_options.seconds));
+        if (result.index() == 1)
+            co_return std::nullopt;
+        const auto length = std::get<0>(result);
+        std::string line(asio::buffers_begin(buffer.data()), asio::buffers_begin(buffer.data()) + static_cast<std::ptrdiff_t>(length));
+        buffer.consume(length);
+        while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+            line.pop_back();
+        co_return line;
+    }
+
+    static asio::ip::tcp::endpoint endpointOf(const Target& target)
+    {
+        return { asio::ip::address_v4(target.endpoint.address), target.endpoint.port };
+    }
+
+    void write(const nlohmann::json& record) { m_out << record.dump() << '\n'; }
+
+    asio::io_context& m_loop;
+    LoadOptions m_options;
+    std::ostream& m_out;
+    SeededRandom m_random;
+    std::chrono::steady_clock::time_point m_start;
+    std::size_t m_open = 0;
+    std::uint64_t m_requests = 0;
+};
+
+// Reads "NAME=ADDRESS:PORT,RATE,FEEDS".
+Target parseTarget(const std::string& text)
+{
+    const auto equals = text.find('=');
+    const auto first = text.find(',', equals);
+    const auto second = text.find(',', first + 1);
+    if (equals == std::string::npos || first == std::string::npos || second == std::string::npos)
+        throw Error(ErrorKind::InvalidArgument, "'" + text + "' is not a target", "write NAME=ADDRESS:PORT,RATE,FEEDS");
+    return { .name = text.substr(0, equals), .endpoint = parseEndpoint(text.substr(equals + 1, first - equals - 1)), .rate = std::stod(text.substr(first + 1, second - first - 1)), .feeds = std::stoi(text.substr(second + 1)) };
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("load", "Sends requests at a given rate and holds feeds open.");
+    options.add_options()("seconds", "how long", cxxopts::value<double>()->default_value("10"))("order-share", "share of requests that are orders", cxxopts::value<double>()->default_value("0.2"))("timeout-ms", "for each request", cxxopts::value<int>()->default_value("5000"))("seed", "seed of arrivals", cxxopts::value<std::uint64_t>()->default_value("1"))("output", "file of JSON lines", cxxopts::value<std::string>())("targets", "targets", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional("targets");
+    try {
+        const auto arguments = options.parse(argc, argv);
+        LoadOptions load { .seconds = arguments["seconds"].as<double>(), .orderShare = arguments["order-share"].as<double>(), .timeout = std::chrono::milliseconds(arguments["timeout-ms"].as<int>()), .seed = arguments["seed"].as<std::uint64_t>() };
+        for (const auto& text : arguments["targets"].as<std::vector<std::string>>())
+            load.targets.push_back(parseTarget(text));
+        std::ofstream out(arguments["output"].as<std::string>());
+        asio::io_context loop(1);
+        Load run(loop, load, out);
+        run.start();
+        loop.run();
+    } catch (const std::exception& error) {
+        std::cerr << "load: " << error.what() << '\n';
+        return 1;
+    }
+}
--- a/src/framework/tcpstack/internal/lwipconnection.cpp
+++ b/src/framework/tcpstack/internal/lwipconnection.cpp
@@ -4,8 +4,8 @@
 #include "tcpstack/internal/lwip.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace clementinesill::tcpstack {
@@ -128,7 +128,8 @@
 
 asio::awaitable<void> LwipConnection::changed()
 {
-    co_await m_changed.async_wait(asio::as_tuple(asio::use_awaitable));
+    boost::system::error_code cancelled;
+    co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
     if ((co_await asio::this_coro::cancellation_state).cancelled() != asio::cancellation_type::none)
         throwBroken();
 }
--- a/src/standins/fabricmain.cpp
+++ b/src/standins/fabricmain.cpp
@@ -124,12 +124,21 @@
     }
 }
 
-asio::awaitable<void> acceptClients(asio::io_context& loop, tcpstack::ITcpStack& stack, Endpoint service)
+// Where real clients connect and which service their packets are sent to. The two differ because lwIP sends packets to
+// 127.0.0.0/8 back to itself.
+struct Mapping {
+    Endpoint listen;
+    Endpoint service;
+};
+
+asio::awaitable<void> acceptClients(asio::io_context& loop, tcpstack::ITcpStack& stack, Mapping mapping)
 {
-    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(service.address), service.port);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(mapping.listen.address), mapping.listen.port);
     asio::ip::tcp::acceptor acceptor(loop, endpoint);
-    while (true)
-        asio::co_spawn(loop, carry(co_await acceptor.async_accept(asio::use_awaitable), stack, service), asio::detached);
+    while (true) {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        asio::co_spawn(loop, carry(std::move(socket), stack, mapping.service), asio::detached);
+    }
 }
 
 std::vector<Endpoint> endpoints(const std::vector<std::string>& texts)
@@ -140,20 +149,29 @@
     return result;
 }
 
+// Reads "LISTEN=SERVICE", each ADDRESS:PORT.
+Mapping parseMapping(const std::string& text)
+{
+    const auto equals = text.find('=');
+    if (equals == std::string::npos)
+        throw Error(ErrorKind::InvalidArgument, "'" + text + "' names no service", "write LISTEN=SERVICE, each ADDRESS:PORT");
+    return { .listen = parseEndpoint(text.substr(0, equals)), .service = parseEndpoint(text.substr(equals + 1)) };
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     cxxopts::Options options("standin_fabric", "Sprays the packets of real clients over the balancers.");
-    options.add_options()("endpoint", "UDP address for answers", cxxopts::value<std::string>())("balancer", "balancers' data endpoints", cxxopts::value<std::vector<std::string>>())("service", "service addresses, which clients connect to", cxxopts::value<std::vector<std::string>>())("caller", "caller address inside the packets", cxxopts::value<std::string>()->default_value("127.9.0.1"))("seed", "seed of the choice of balancer", cxxopts::value<std::uint64_t>()->default_value("1"));
+    options.add_options()("endpoint", "UDP address for answers", cxxopts::value<std::string>())("balancer", "balancers' data endpoints", cxxopts::value<std::vector<std::string>>())("service", "LISTEN=SERVICE: where clients connect, and the address inside the packets", cxxopts::value<std::vector<std::string>>())("caller", "caller address inside the packets", cxxopts::value<std::string>()->default_value("203.0.113.1"))("seed", "seed of the choice of balancer", cxxopts::value<std::uint64_t>()->default_value("1"));
     try {
         const auto arguments = options.parse(argc, argv);
         asio::io_context loop(1);
         Fabric fabric(loop, parseEndpoint(arguments["endpoint"].as<std::string>()), endpoints(arguments["balancer"].as<std::vector<std::string>>()), arguments["seed"].as<std::uint64_t>());
         const auto stack = tcpstack::makeLwipStack(parseAddress(arguments["caller"].as<std::string>()), loop, fabric);
         asio::co_spawn(loop, fabric.run(*stack), asio::detached);
-        for (const auto& service : endpoints(arguments["service"].as<std::vector<std::string>>()))
-            asio::co_spawn(loop, acceptClients(loop, *stack, service), [](std::exception_ptr failure) { if (failure) std::rethrow_exception(failure); });
+        for (const auto& text : arguments["service"].as<std::vector<std::string>>())
+            asio::co_spawn(loop, acceptClients(loop, *stack, parseMapping(text)), [](std::exception_ptr failure) { if (failure) std::rethrow_exception(failure); });
         asio::signal_set signals(loop, SIGTERM, SIGINT);
         signals.async_wait([&](const auto&, int) { std::quick_exit(0); });
         loop.run();
