Check the forwarder's promises; open UDP flows; name the strategies

Cause: a flow hash shared by flows of two services made the cache name a server of the wrong service; a SYN sent again left the server that had taken the first; UDP datagrams of unknown flows went by plain rank without leave to open. Ruled out: the key in each cache entry (24 bytes more a flow; comparing the server's service costs nothing, and agents check the destination anyway).

--- a/src/dataplane/internal/balancermodule.cpp
+++ b/src/dataplane/internal/balancermodule.cpp
@@ -1,8 +1,9 @@
 #include "dataplane/balancermodule.h"
 
+#include "dataplane/forwarderstrategy.h"
+#include "dataplane/iforwarder.h"
 #include "dataplane/internal/balancerworker.h"
 #include "dataplane/internal/flowcache.h"
-#include "dataplane/internal/forwarder.h"
 #include "fleet/ifleetclient.h"
 #include "fleet/itablesource.h"
 #include "settings.pb.h"
@@ -24,7 +25,7 @@
         , m_fleet(fleet)
         , m_metrics(metrics)
         , m_cache(m_settings.flow_cache_entries() ? m_settings.flow_cache_entries() : defaultCacheEntries)
-        , m_forwarder(m_cache)
+        , m_forwarder(makeForwarder(m_settings.strategy(), m_cache))
     {
     }
 
@@ -35,7 +36,7 @@
             m_workers.push_back(std::make_unique<BalancerWorker>(BalancerWorkerOptions {
                 .endpoint = parseEndpoint(m_settings.data_endpoint()),
                 .tables = m_fleet.tables(),
-                .forwarder = m_forwarder,
+                .forwarder = *m_forwarder,
                 .metrics = m_metrics,
             }));
         }
@@ -55,7 +56,7 @@
     fleet::IFleetClient& m_fleet;
     MetricsRegistry& m_metrics;
     FlowCache m_cache;
-    Forwarder m_forwarder;
+    std::unique_ptr<IForwarder> m_forwarder;
     std::atomic<bool> m_stop { false };
     std::vector<std::unique_ptr<BalancerWorker>> m_workers;
     std::vector<std::thread> m_threads;
--- a/src/dataplane/internal/forwarddecision.cpp
+++ b/src/dataplane/internal/forwarddecision.cpp
@@ -1,5 +1,7 @@
 #include "dataplane/types/forwarddecision.h"
 
+#include "fleet/fleettable.h"
+
 namespace clementinesill::dataplane {
 
 std::string_view name(ForwardReason reason)
@@ -23,4 +25,25 @@
     return "unknown";
 }
 
+ForwardDecision sendTo(const fleet::ServerEntry& server, const fleet::FleetTable& table, ForwardReason reason, std::uint8_t flags)
+{
+    return {
+        .reason = reason,
+        .dropped = false,
+        .agent = server.agent,
+        .route = {
+            .tableVersion = table.version(),
+            .serviceId = server.serviceId,
+            .serverId = server.id,
+            .incarnation = server.incarnation,
+            .flags = flags,
+        },
+    };
+}
+
+ForwardDecision drop(ForwardReason reason)
+{
+    return { .reason = reason };
+}
+
 } // namespace clementinesill::dataplane
--- a/src/dataplane/internal/forwarder.cpp
+++ b/src/dataplane/internal/forwarder.cpp
@@ -8,31 +8,6 @@
 
 namespace clementinesill::dataplane {
 
-namespace {
-
-ForwardDecision sendTo(const fleet::ServerEntry& server, const fleet::FleetTable& table, ForwardReason reason, std::uint8_t flags)
-{
-    return {
-        .reason = reason,
-        .dropped = false,
-        .agent = server.agent,
-        .route = {
-            .tableVersion = table.version(),
-            .serviceId = server.serviceId,
-            .serverId = server.id,
-            .incarnation = server.incarnation,
-            .flags = flags,
-        },
-    };
-}
-
-ForwardDecision drop(ForwardReason reason)
-{
-    return { .reason = reason };
-}
-
-} // namespace
-
 Forwarder::Forwarder(IFlowCache& cache)
     : m_cache(cache)
 {
@@ -43,42 +18,52 @@
     const auto* service = table.service(packet.key.service, packet.key.protocol);
     if (!service)
         return drop(ForwardReason::NoService);
-    const auto flowHash = fleet::hash(packet.key, table.hashSeed());
-    return packet.opensTcpFlow() ? openFlow(*service, table, flowHash) : continueFlow(*service, table, flowHash);
+    const bool udp = packet.key.protocol == fleet::TransportProtocol::Udp;
+    const bool mayOpen = udp || packet.opensTcpFlow();
+    const Flow flow { .service = *service, .table = table, .hash = fleet::hash(packet.key, table.hashSeed()), .udp = udp };
+    if (const auto* server = cached(flow)) {
+        if (!mayOpen)
+            return sendTo(*server, table, ForwardReason::CacheHit, Route::fromCache);
+        // A SYN sent again follows the first one, unless the server has stopped taking new flows since.
+        if (server->accepting())
+            return sendTo(*server, table, ForwardReason::CacheHit, Route::fromCache | Route::opensFlow);
+        if (udp)
+            return sendTo(*server, table, ForwardReason::CacheHit, Route::fromCache);
+    }
+    return mayOpen ? openFlow(flow) : continueFlow(flow);
 }
 
-ForwardDecision Forwarder::openFlow(const fleet::ServiceEntry& service, const fleet::FleetTable& table, std::uint64_t flowHash)
+ForwardDecision Forwarder::openFlow(const Flow& flow)
 {
-    const auto* server = fleet::firstInRank(flowHash, service.servers, fleet::takesNewFlows);
+    const auto* server = fleet::firstInRank(flow.hash, flow.service.servers, fleet::takesNewFlows);
     if (!server)
-        return drop(service.servers.empty() ? ForwardReason::NoServer : ForwardReason::NoAcceptingServer);
-    if (server != fleet::firstInRank(flowHash, service.servers, fleet::isReachable))
-        m_cache.store(flowHash, { .serverId = server->id, .incarnation = server->incarnation });
+        return drop(flow.service.servers.empty() ? ForwardReason::NoServer : ForwardReason::NoAcceptingServer);
+    if (flow.udp || server != fleet::firstInRank(flow.hash, flow.service.servers, fleet::isReachable))
+        m_cache.store(flow.hash, { .serverId = server->id, .incarnation = server->incarnation });
     else
-        m_cache.erase(flowHash);
-    return sendTo(*server, table, ForwardReason::FirstAccepting, Route::opensFlow);
+        m_cache.erase(flow.hash);
+    return sendTo(*server, flow.table, ForwardReason::FirstAccepting, Route::opensFlow);
 }
 
-const fleet::ServerEntry* Forwarder::cached(const fleet::FleetTable& table, std::uint64_t flowHash)
+const fleet::ServerEntry* Forwarder::cached(const Flow& flow)
 {
-    const auto entry = m_cache.find(flowHash);
+    const auto entry = m_cache.find(flow.hash);
     if (!entry)
         return nullptr;
-    const auto* server = table.server(entry->serverId);
-    if (server && server->incarnation == entry->incarnation && !server->zoneOut)
+    const auto* server = flow.table.server(entry->serverId);
+    // The service is compared because two flows of different services may share a hash.
+    if (server && server->incarnation == entry->incarnation && server->serviceId == flow.service.id && !server->zoneOut)
         return server;
-    m_cache.erase(flowHash);
+    m_cache.erase(flow.hash);
     return nullptr;
 }
 
-ForwardDecision Forwarder::continueFlow(const fleet::ServiceEntry& service, const fleet::FleetTable& table, std::uint64_t flowHash)
+ForwardDecision Forwarder::continueFlow(const Flow& flow)
 {
-    if (const auto* server = cached(table, flowHash))
-        return sendTo(*server, table, ForwardReason::CacheHit, Route::fromCache);
-    const auto* server = fleet::firstInRank(flowHash, service.servers, fleet::isReachable);
+    const auto* server = fleet::firstInRank(flow.hash, flow.service.servers, fleet::isReachable);
     if (!server)
         return drop(ForwardReason::NoServer);
-    return sendTo(*server, table, ForwardReason::FirstInRank, 0);
+    return sendTo(*server, flow.table, ForwardReason::FirstInRank, 0);
 }
 
 void Forwarder::learn(const Holder& holder, const fleet::FleetTable& table)
--- a/src/dataplane/internal/forwarder.h
+++ b/src/dataplane/internal/forwarder.h
@@ -21,9 +21,17 @@
     void learn(const Holder& holder, const fleet::FleetTable& table) override;
 
 private:
-    ForwardDecision openFlow(const fleet::ServiceEntry& service, const fleet::FleetTable& table, std::uint64_t flowHash);
-    ForwardDecision continueFlow(const fleet::ServiceEntry& service, const fleet::FleetTable& table, std::uint64_t flowHash);
-    const fleet::ServerEntry* cached(const fleet::FleetTable& table, std::uint64_t flowHash);
+    // One packet's flow, and what the table says of its service.
+    struct Flow {
+        const fleet::ServiceEntry& service;
+        const fleet::FleetTable& table;
+        std::uint64_t hash;
+        bool udp;
+    };
+
+    ForwardDecision openFlow(const Flow& flow);
+    ForwardDecision continueFlow(const Flow& flow);
+    const fleet::ServerEntry* cached(const Flow& flow);
 
     IFlowCache& m_cache;
 };
--- a/src/dataplane/types/forwarddecision.h
+++ b/src/dataplane/types/forwarddecision.h
@@ -4,11 +4,16 @@
 
 #include <string_view>
 
+namespace clementinesill::fleet {
+class FleetTable;
+struct ServerEntry;
+} // namespace clementinesill::fleet
+
 namespace clementinesill::dataplane {
 
 // Why a balancer sent a packet where it did, or dropped it.
 enum class ForwardReason {
-    // A new flow: the first server in rank order that takes new flows.
+    // A new flow, or a UDP flow the balancer does not know: the first server in rank order that takes new flows.
     FirstAccepting,
     // A known flow: the server that the flow cache names.
     CacheHit,
@@ -21,6 +26,7 @@
     // No server of the service takes new flows.
     NoAcceptingServer,
 };
+constexpr std::size_t forwardReasons = 7;
 
 std::string_view name(ForwardReason reason);
 
@@ -32,4 +38,10 @@
     Route route;
 };
 
+// Decision to send a packet to the server, as the table knows it; flags are the route's.
+ForwardDecision sendTo(const fleet::ServerEntry& server, const fleet::FleetTable& table, ForwardReason reason, std::uint8_t flags);
+
+// Decision to drop a packet.
+ForwardDecision drop(ForwardReason reason);
+
 } // namespace clementinesill::dataplane
