Drain a stopped balancer, and count what it could not carry

Cause: a stopped worker left what its socket held; failed sends, cut datagrams and packets larger than the path went unseen; all workers added to the same counters for each packet. Ruled out: ending at the first empty read (a slow flow pauses longer than the receive timeout); refusing oversize packets with the don't-fragment bit (a black hole for callers whose segments fill the path; fragments arrive). Change: after stop the worker goes on until several reads in a row found nothing, bounded by the injected clock; sends are counted by error and retried after EINTR; Truncated is a packet error; WorkerCounters keeps a worker's counts on its own cache lines and publishes them once a batch. Tests: balancerworker.cpp, 8 tests; each seen failing (no drain, no bound, no truncation check, no oversize check and one byte off, an allocation, table read for each packet, no learn, no ingress, no SO_REUSEPORT, a batch that ends at an error, counts not published). Conclusion: a stop loses nothing that arrived, within its bound.

--- a/src/dataplane/internal/balancermodule.cpp
+++ b/src/dataplane/internal/balancermodule.cpp
@@ -6,6 +6,7 @@
 #include "dataplane/internal/flowcache.h"
 #include "fleet/ifleetclient.h"
 #include "fleet/itablesource.h"
+#include "foundation/systemclock.h"
 #include "settings.pb.h"
 
 #include <algorithm>
@@ -38,6 +39,7 @@
                 .tables = m_fleet.tables(),
                 .forwarder = *m_forwarder,
                 .metrics = m_metrics,
+                .clock = m_clock,
             }));
         }
         for (auto& worker : m_workers)
@@ -55,6 +57,7 @@
     const schema::BalancerSettings m_settings;
     fleet::IFleetClient& m_fleet;
     MetricsRegistry& m_metrics;
+    SystemClock m_clock;
     FlowCache m_cache;
     std::unique_ptr<IForwarder> m_forwarder;
     std::atomic<bool> m_stop { false };
--- a/src/dataplane/internal/balancerworker.cpp
+++ b/src/dataplane/internal/balancerworker.cpp
@@ -19,18 +19,17 @@
 // How long a worker sleeps at most before it looks whether it should stop.
 constexpr std::chrono::milliseconds receiveTimeout { 50 };
 
+// IPv4 and UDP headers in front of what is sent.
+constexpr std::size_t outerHeaderBytes = 28;
+
 } // namespace
 
 BalancerWorker::BalancerWorker(const BalancerWorkerOptions& options)
     : m_options(options)
     , m_socket(net::openUdpSocket({ .endpoint = options.endpoint, .reusePort = true, .receiveTimeout = receiveTimeout }))
     , m_batch(std::make_unique<PacketBatch>())
-    , m_learned(options.metrics.counter("balancer_holders_learned_total"))
+    , m_counters(options.metrics)
 {
-    for (std::size_t index = 0; index < m_forwarded.size(); ++index)
-        m_forwarded[index] = &options.metrics.counter("balancer_packets_total", { { "reason", std::string(name(static_cast<ForwardReason>(index))) } });
-    for (std::size_t index = 0; index < m_malformed.size(); ++index)
-        m_malformed[index] = &options.metrics.counter("balancer_malformed_total", { { "error", std::string(name(static_cast<PacketError>(index))) } });
 }
 
 BalancerWorker::~BalancerWorker()
@@ -40,23 +39,43 @@
 
 void BalancerWorker::run(const std::atomic<bool>& stop)
 {
-    while (!stop.load(std::memory_order_relaxed)) {
-        const auto count = m_batch->receive(m_socket);
-        if (!count)
-            continue;
-        const auto table = m_options.tables.table();
-        for (std::size_t index = 0; index < count; ++index)
-            handle(index, *table);
-        m_batch->flush(m_socket);
-    }
+    while (!stop.load(std::memory_order_relaxed))
+        serveBatch();
+    drain();
+}
+
+void BalancerWorker::drain()
+{
+    const auto end = m_options.clock.now() + m_options.drainLimit;
+    unsigned quiet = 0;
+    while (quiet < m_options.quietReads && m_options.clock.now() < end)
+        quiet = serveBatch() ? 0 : quiet + 1;
+}
+
+std::size_t BalancerWorker::serveBatch()
+{
+    const auto count = m_batch->receive(m_socket);
+    if (!count)
+        return 0;
+    // Packets of one batch are decided by one table; a newer one takes effect with the next batch.
+    const auto table = m_options.tables.table();
+    for (std::size_t index = 0; index < count; ++index)
+        handle(index, *table);
+    m_counters.count(m_batch->flush(m_socket));
+    m_counters.publish();
+    return count;
 }
 
 void BalancerWorker::handle(std::size_t index, const fleet::FleetTable& table)
 {
+    if (m_batch->truncated(index)) {
+        m_counters.count(PacketError::Truncated);
+        return;
+    }
     GeneveMessage message;
     const auto error = decodeGeneve(m_batch->datagram(index), message);
     if (error != PacketError::None) {
-        count(error);
+        m_counters.count(error);
         return;
     }
     if (!message.control) {
@@ -66,7 +85,7 @@
     if (!message.holder)
         return;
     m_options.forwarder.learn(*message.holder, table);
-    m_learned.fetch_add(1, std::memory_order_relaxed);
+    m_counters.countLearned();
 }
 
 void BalancerWorker::forward(std::size_t index, const GeneveMessage& message, const fleet::FleetTable& table)
@@ -74,11 +93,11 @@
     PacketView packet;
     const auto error = parsePacket(message.payload, packet);
     if (error != PacketError::None) {
-        count(error);
+        m_counters.count(error);
         return;
     }
     auto decision = m_options.forwarder.forward(packet, table);
-    count(decision.reason);
+    m_counters.count(decision.reason);
     if (decision.dropped)
         return;
     decision.route.balancer = m_options.endpoint;
@@ -87,17 +106,9 @@
     outer.serviceId = decision.route.serviceId;
     outer.route = decision.route;
     const auto headerBytes = encodeGeneveHeader(outer, m_batch->headerSpace(index));
+    if (outerHeaderBytes + headerBytes + packet.bytes.size() > m_options.pathBytes)
+        m_counters.countOversize();
     m_batch->queue(index, headerBytes, packet.bytes, decision.agent);
 }
 
-void BalancerWorker::count(ForwardReason reason)
-{
-    m_forwarded[static_cast<std::size_t>(reason)]->fetch_add(1, std::memory_order_relaxed);
-}
-
-void BalancerWorker::count(PacketError error)
-{
-    m_malformed[static_cast<std::size_t>(error)]->fetch_add(1, std::memory_order_relaxed);
-}
-
 } // namespace clementinesill::dataplane
--- a/src/dataplane/internal/balancerworker.h
+++ b/src/dataplane/internal/balancerworker.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "foundation/metrics.h"
+#include "dataplane/internal/workercounters.h"
+#include "foundation/iclock.h"
 #include "foundation/types/endpoint.h"
 
-#include <array>
 #include <atomic>
 #include <memory>
 
@@ -16,8 +16,6 @@
 
 class IForwarder;
 class PacketBatch;
-enum class ForwardReason;
-enum class PacketError;
 struct GeneveMessage;
 
 // What the worker threads of a balancer share. The references must outlive the workers.
@@ -27,6 +25,13 @@
     fleet::ITableSource& tables;
     IForwarder& forwarder;
     MetricsRegistry& metrics;
+    const IClock& clock;
+    // Largest IP datagram that the path to the agents carries whole, in bytes; larger ones are sent in fragments and counted.
+    std::size_t pathBytes = 1500;
+    // Reads in a row that found nothing, each as long as the receive timeout, before a stopped worker ends.
+    unsigned quietReads = 10;
+    // Longest time that a stopped worker goes on while packets keep coming.
+    Duration drainLimit = std::chrono::seconds(5);
 };
 
 // One thread's loop: takes batches of packets from the fabric and sends them on to agents.
@@ -35,22 +40,24 @@
     // Binds the socket. Throws Error (AddressInUse or Network).
     explicit BalancerWorker(const BalancerWorkerOptions& options);
     ~BalancerWorker();
+    BalancerWorker(const BalancerWorker&) = delete;
+    BalancerWorker& operator=(const BalancerWorker&) = delete;
 
-    // Runs until stop is set.
+    // Runs until stop is set, then drains: goes on until the fabric sends nothing more, as the options bound it.
+    // A packet that was read is always sent on.
     void run(const std::atomic<bool>& stop);
 
 private:
+    // Returns how many datagrams were read; waits as long as the receive timeout for the first one.
+    std::size_t serveBatch();
+    void drain();
     void handle(std::size_t index, const fleet::FleetTable& table);
     void forward(std::size_t index, const GeneveMessage& message, const fleet::FleetTable& table);
-    void count(ForwardReason reason);
-    void count(PacketError error);
 
     BalancerWorkerOptions m_options;
     int m_socket = -1;
     std::unique_ptr<PacketBatch> m_batch;
-    std::array<Counter*, 8> m_forwarded {};
-    std::array<Counter*, 12> m_malformed {};
-    Counter& m_learned;
+    WorkerCounters m_counters;
 };
 
 } // namespace clementinesill::dataplane
--- a/src/dataplane/internal/packetbatch.cpp
+++ b/src/dataplane/internal/packetbatch.cpp
@@ -1,5 +1,7 @@
 #include "dataplane/internal/packetbatch.h"
 
+#include <cerrno>
+
 namespace clementinesill::dataplane {
 
 PacketBatch::PacketBatch()
@@ -26,6 +28,11 @@
     return count > 0 ? static_cast<std::size_t>(count) : 0;
 }
 
+bool PacketBatch::truncated(std::size_t index) const
+{
+    return m_received[index].msg_hdr.msg_flags & MSG_TRUNC;
+}
+
 std::span<const std::byte> PacketBatch::datagram(std::size_t index) const
 {
     return { m_buffer.data() + index * maximumDatagramBytes, m_received[index].msg_len };
@@ -49,21 +56,24 @@
     ++m_queued;
 }
 
-std::size_t PacketBatch::flush(int socket)
+SendErrorCounts PacketBatch::flush(int socket)
 {
-    std::size_t sent = 0;
-    std::size_t lost = 0;
-    while (sent + lost < m_queued) {
-        const auto done = sent + lost;
+    SendErrorCounts errors {};
+    std::size_t done = 0;
+    while (done < m_queued) {
         const int count = sendmmsg(socket, m_toSend.data() + done, static_cast<unsigned>(m_queued - done), 0);
-        // A refused first datagram, such as one to a port that was closed, must not hold back the others.
-        if (count > 0)
-            sent += static_cast<std::size_t>(count);
-        else
-            ++lost;
+        if (count > 0) {
+            done += static_cast<std::size_t>(count);
+            continue;
+        }
+        if (errno == EINTR)
+            continue;
+        // A refused first datagram, such as one without a route, must not hold back the others.
+        ++errors[static_cast<std::size_t>(sendError(errno))];
+        ++done;
     }
     m_queued = 0;
-    return lost;
+    return errors;
 }
 
 } // namespace clementinesill::dataplane
--- a/src/dataplane/internal/packetbatch.h
+++ b/src/dataplane/internal/packetbatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dataplane/genevecodec.h"
+#include "dataplane/types/senderror.h"
 #include "foundation/types/endpoint.h"
 
 #include <array>
@@ -25,6 +26,9 @@
     // Reads what the socket holds, waiting as long as its receive timeout; returns how many datagrams were read.
     std::size_t receive(int socket);
 
+    // Whether the datagram was larger than maximumDatagramBytes, and so lost its end.
+    bool truncated(std::size_t index) const;
+
     std::span<const std::byte> datagram(std::size_t index) const;
     Endpoint source(std::size_t index) const;
 
@@ -34,8 +38,8 @@
     // Queues header and packet to a target; the packet must lie in the batch's receive buffer.
     void queue(std::size_t index, std::size_t headerBytes, std::span<const std::byte> packet, const Endpoint& target);
 
-    // Sends what was queued; returns how many datagrams the kernel did not take.
-    std::size_t flush(int socket);
+    // Sends what was queued; returns how many datagrams the kernel did not take, by error.
+    SendErrorCounts flush(int socket);
 
 private:
     std::vector<std::byte> m_buffer;
--- a/src/dataplane/internal/packeterror.cpp
+++ b/src/dataplane/internal/packeterror.cpp
@@ -27,6 +27,8 @@
         return "unknown_protocol";
     case PacketError::BadTransportHeader:
         return "bad_transport_header";
+    case PacketError::Truncated:
+        return "truncated";
     }
     return "unknown";
 }
--- /dev/null
+++ b/src/dataplane/tests/balancerworker.cpp
@@ -0,0 +1,234 @@
+#include "dataplane/internal/balancerworker.h"
+
+#include "dataplane/genevecodec.h"
+#include "dataplane/internal/flowcache.h"
+#include "dataplane/internal/forwarder.h"
+#include "dataplane/tests/fixtures.h"
+#include "dataplane/types/genevemessage.h"
+#include "dataplane/types/tcpflags.h"
+#include "fleet/itablesource.h"
+#include "net/udpsocket.h"
+#include "testing/manualclock.h"
+
+#include <CppUTest/TestHarness.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <tins/tins.h>
+#include <unistd.h>
+
+using namespace clementinesill;
+using namespace clementinesill::dataplane;
+using namespace clementinesill::dataplane::fixtures;
+
+namespace {
+
+// Allocations of this thread.
+thread_local std::size_t allocations = 0;
+
+} // namespace
+
+// CppUTest defines operator new, which ends in malloc.
+extern "C" void* __libc_malloc(std::size_t bytes); // NOLINT(readability-identifier-naming): the C library's name
+extern "C" void* malloc(std::size_t bytes)
+{
+    ++allocations;
+    return __libc_malloc(bytes);
+}
+
+namespace {
+
+const Endpoint balancerEndpoint = parseEndpoint("127.0.0.1:24900");
+const Endpoint fabricEndpoint = parseEndpoint("127.0.0.1:24901");
+constexpr auto agentPort = 24001;
+
+// Hands out the table it holds and counts how often it was asked.
+class FakeTables final : public fleet::ITableSource {
+public:
+    std::shared_ptr<const fleet::FleetTable> table() const override
+    {
+        ++reads;
+        return held;
+    }
+    void noteNewerVersion(std::uint64_t) override { }
+
+    std::shared_ptr<const fleet::FleetTable> held;
+    mutable std::size_t reads = 0;
+};
+
+// A socket that closes itself.
+struct Socket {
+    explicit Socket(const Endpoint& endpoint)
+        : descriptor(net::openUdpSocket({ .endpoint = endpoint, .nonBlocking = true }))
+    {
+    }
+    ~Socket() { close(descriptor); }
+
+    void send(std::span<const std::byte> bytes) const
+    {
+        const sockaddr_in target { .sin_family = AF_INET, .sin_port = htons(balancerEndpoint.port), .sin_addr = { htonl(balancerEndpoint.address) }, .sin_zero = {} };
+        sendto(descriptor, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    }
+
+    // Next datagram; empty if there is none.
+    std::vector<std::byte> receive() const
+    {
+        std::vector<std::byte> bytes(65536);
+        const auto length = recv(descriptor, bytes.data(), bytes.size(), 0);
+        bytes.resize(length < 0 ? 0 : static_cast<std::size_t>(length));
+        return bytes;
+    }
+
+    int descriptor;
+};
+
+std::vector<std::byte> datagram(const Endpoint& service, std::size_t payloadBytes)
+{
+    auto ip = Tins::IP(formatAddress(service.address), "10.1.0.1") / Tins::TCP(service.port, 4000) / Tins::RawPDU(std::string(payloadBytes, 'x'));
+    const auto packet = ip.serialize();
+    std::vector<std::byte> bytes(maximumGeneveHeaderBytes);
+    bytes.resize(encodeGeneveHeader({}, bytes));
+    const auto* const start = reinterpret_cast<const std::byte*>(packet.data());
+    bytes.insert(bytes.end(), start, start + packet.size());
+    return bytes;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(BalancerWorker)
+{
+    MetricsRegistry metrics;
+    ManualClock clock;
+    FakeTables tables;
+    FlowCache cache { 64 };
+    Forwarder forwarder { cache };
+    Socket fabric { fabricEndpoint };
+    Socket agent { { .address = balancerEndpoint.address, .port = agentPort } };
+    std::atomic<bool> stop { true };
+
+    void setup() override { tables.held = std::make_shared<const fleet::FleetTable>(makeTable(1, 1)); }
+
+    BalancerWorkerOptions options() { return { .endpoint = balancerEndpoint, .tables = tables, .forwarder = forwarder, .metrics = metrics, .clock = clock, .quietReads = 1 }; }
+
+    std::uint64_t count(const char* metric, const Labels& labels = {}) { return metrics.counter(metric, labels).load(); }
+
+    std::size_t received() const
+    {
+        std::size_t packets = 0;
+        while (!agent.receive().empty())
+            ++packets;
+        return packets;
+    }
+};
+// clang-format on
+
+TEST(BalancerWorker, StopLosesNothingThatArrived)
+{
+    BalancerWorker worker(options());
+    for (int packet = 0; packet < 300; ++packet)
+        fabric.send(datagram(firstService, 10));
+    worker.run(stop);
+    LONGS_EQUAL(300, received());
+    LONGS_EQUAL(300, count("balancer_packets_total", { { "reason", "first_in_rank" } }));
+}
+
+TEST(BalancerWorker, StopIsBounded)
+{
+    auto bounded = options();
+    bounded.drainLimit = Duration(0);
+    BalancerWorker worker(bounded);
+    fabric.send(datagram(firstService, 10));
+    worker.run(stop);
+    LONGS_EQUAL(0, received());
+}
+
+TEST(BalancerWorker, TellsTheAgentWhereThePacketCameFrom)
+{
+    BalancerWorker worker(options());
+    const auto sent = datagram(firstService, 10);
+    fabric.send(sent);
+    worker.run(stop);
+    const auto bytes = agent.receive();
+    GeneveMessage message;
+    CHECK(decodeGeneve(bytes, message) == PacketError::None);
+    CHECK(message.route->ingress == fabricEndpoint && message.route->balancer == balancerEndpoint);
+    LONGS_EQUAL(firstServiceId, message.serviceId);
+    CHECK(std::equal(message.payload.begin(), message.payload.end(), sent.end() - static_cast<std::ptrdiff_t>(message.payload.size()), sent.end()));
+}
+
+TEST(BalancerWorker, CountsWhatItDoesNotForward)
+{
+    BalancerWorker worker(options());
+    fabric.send(datagram({ .address = firstService.address, .port = 81 }, 10));
+    fabric.send(std::vector<std::byte>(3));
+    fabric.send(std::vector<std::byte>(10000));
+    auto badOffset = datagram(firstService, 10);
+    badOffset[8 + 20 + 12] = std::byte { 0xf0 };
+    fabric.send(badOffset);
+    worker.run(stop);
+    LONGS_EQUAL(0, received());
+    LONGS_EQUAL(1, count("balancer_packets_total", { { "reason", "no_service" } }));
+    LONGS_EQUAL(1, count("balancer_malformed_total", { { "error", "too_short" } }));
+    LONGS_EQUAL(1, count("balancer_malformed_total", { { "error", "truncated" } }));
+    LONGS_EQUAL(1, count("balancer_malformed_total", { { "error", "bad_transport_header" } }));
+}
+
+TEST(BalancerWorker, CountsOversizeAndUnsentPackets)
+{
+    auto records = makeTable(1, 1);
+    records.mutable_servers(1)->set_agent_endpoint("255.255.255.255:24002");
+    tables.held = std::make_shared<const fleet::FleetTable>(records);
+    BalancerWorker worker(options());
+    constexpr std::size_t overhead = 28 + 8 + 4 + 36 + 20 + 20;
+    fabric.send(datagram(firstService, 1500 - overhead));
+    fabric.send(datagram(secondService, 10));
+    fabric.send(datagram(firstService, 1501 - overhead));
+    worker.run(stop);
+    LONGS_EQUAL(2, received());
+    LONGS_EQUAL(1, count("balancer_oversize_packets_total"));
+    LONGS_EQUAL(1, count("balancer_send_errors_total", { { "error", "unreachable" } }));
+}
+
+TEST(BalancerWorker, TakesHolderDatagramsAndReadsTheTableOnceABatch)
+{
+    tables.held = std::make_shared<const fleet::FleetTable>(makeTable(1, 2));
+    BalancerWorker worker(options());
+    GeneveMessage hint;
+    hint.control = true;
+    hint.holder = Holder { .key = { .caller = parseEndpoint("10.1.0.1:4000"), .service = firstService }, .serverId = 1, .incarnation = 1 };
+    std::vector<std::byte> bytes(maximumGeneveHeaderBytes);
+    bytes.resize(encodeGeneveHeader(hint, bytes));
+    fabric.send(bytes);
+    for (int packet = 0; packet < 40; ++packet)
+        fabric.send(datagram(firstService, 10));
+    worker.run(stop);
+    LONGS_EQUAL(1, count("balancer_holders_learned_total"));
+    LONGS_EQUAL(40, count("balancer_packets_total", { { "reason", "cache_hit" } }));
+    LONGS_EQUAL(40, received());
+    LONGS_EQUAL(1, tables.reads);
+}
+
+TEST(BalancerWorker, AllocatesNothingForAPacket)
+{
+    BalancerWorker worker(options());
+    for (int packet = 0; packet < 100; ++packet)
+        fabric.send(datagram(firstService, 1200));
+    const auto before = allocations;
+    worker.run(stop);
+    LONGS_EQUAL(0, allocations - before);
+    LONGS_EQUAL(100, received());
+}
+
+TEST(BalancerWorker, WorkersShareTheAddress)
+{
+    BalancerWorker one(options());
+    BalancerWorker other(options());
+    for (std::uint16_t port = 24910; port < 24942; ++port)
+        Socket({ .address = balancerEndpoint.address, .port = port }).send(datagram(firstService, 10));
+    std::thread thread([&] { other.run(stop); });
+    one.run(stop);
+    thread.join();
+    LONGS_EQUAL(32, received());
+    LONGS_EQUAL(32, count("balancer_packets_total", { { "reason", "first_in_rank" } }));
+}
--- a/src/dataplane/tests/flowcache.cpp
+++ b/src/dataplane/tests/flowcache.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t ways = 7;
+constexpr std::uint64_t ways = 7;
 constexpr std::uint64_t sets = 4;
 
 // What one set holds, newest use first.
@@ -69,7 +69,7 @@
     for (std::uint64_t hash = 0; hash < 100000; ++hash)
         held += cache.find(hash * 0x9e3779b97f4a7c15).has_value();
     CHECK(held <= cache.capacity());
-    CHECK(cache.capacity() >= 1000 && cache.capacity() < 2 * 1000 + ways);
+    CHECK(cache.capacity() >= 1000 && cache.capacity() < 2000 + ways);
     CHECK(FlowCache::bytesPerEntry() <= 64);
 }
 
--- a/src/dataplane/types/forwarddecision.h
+++ b/src/dataplane/types/forwarddecision.h
@@ -2,6 +2,7 @@
 
 #include "dataplane/types/route.h"
 
+#include <cstddef>
 #include <string_view>
 
 namespace clementinesill::fleet {
--- a/src/dataplane/types/packeterror.h
+++ b/src/dataplane/types/packeterror.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 namespace clementinesill::dataplane {
@@ -17,7 +18,10 @@
     Fragment,
     UnknownProtocol,
     BadTransportHeader,
+    // The datagram is larger than the receive buffer.
+    Truncated,
 };
+constexpr std::size_t packetErrors = 12;
 
 // Name of the error as it stands in metrics.
 std::string_view name(PacketError error);
