Rank once for a SYN whose first server takes new flows

Cause: openFlow looked for the first accepting and the first reachable server in two passes. Ruled out: one pass with two leaders (slower for packets that need only one). Change: the second pass runs only if the first reachable server does not accept.

--- a/src/dataplane/internal/forwarder.cpp
+++ b/src/dataplane/internal/forwarder.cpp
@@ -35,10 +35,13 @@
 
 ForwardDecision Forwarder::openFlow(const Flow& flow)
 {
-    const auto* server = fleet::firstInRank(flow.hash, flow.service.servers, fleet::takesNewFlows);
+    const auto* const first = fleet::firstInRank(flow.hash, flow.service.servers, fleet::isReachable);
+    const bool firstAccepts = first && first->accepting();
+    const auto* const server = firstAccepts ? first : fleet::firstInRank(flow.hash, flow.service.servers, fleet::takesNewFlows);
     if (!server)
         return drop(flow.service.servers.empty() ? ForwardReason::NoServer : ForwardReason::NoAcceptingServer);
-    if (flow.udp || server != fleet::firstInRank(flow.hash, flow.service.servers, fleet::isReachable))
+    // Later packets of a TCP flow find the first server in rank order without the cache.
+    if (flow.udp || !firstAccepts)
         m_cache.store(flow.hash, { .serverId = server->id, .incarnation = server->incarnation });
     else
         m_cache.erase(flow.hash);
