--- a/src/dataplane/internal/balancermodule.cpp
+++ b/src/dataplane/internal/balancermodule.cpp
@@ -1,10 +1,12 @@
 #include "dataplane/balancermodule.h"
 
+#include "dataplane/forwarderstrategy.h"
+#include "dataplane/iforwarder.h"
 #include "dataplane/internal/balancerworker.h"
 #include "dataplane/internal/flowcache.h"
-#include "dataplane/internal/forwarder.h"
 #include "fleet/ifleetclient.h"
 #include "fleet/itablesource.h"
+#include "foundation/systemclock.h"
 #include "settings.pb.h"
 
 #include <algorithm>
@@ -24,7 +26,7 @@
         , m_fleet(fleet)
         , m_metrics(metrics)
         , m_cache(m_settings.flow_cache_entries() ? m_settings.flow_cache_entries() : defaultCacheEntries)
-        , m_forwarder(m_cache)
+        , m_forwarder(makeForwarder(m_settings.strategy(), m_cache))
     {
     }
 
@@ -35,8 +37,9 @@
             m_workers.push_back(std::make_unique<BalancerWorker>(BalancerWorkerOptions {
                 .endpoint = parseEndpoint(m_settings.data_endpoint()),
                 .tables = m_fleet.tables(),
-                .forwarder = m_forwarder,
+                .forwarder = *m_forwarder,
                 .metrics = m_metrics,
+                .clock = m_clock,
             }));
         }
         for (auto& worker : m_workers)
@@ -54,8 +57,9 @@
     const schema::BalancerSettings m_settings;
     fleet::IFleetClient& m_fleet;
     MetricsRegistry& m_metrics;
+    SystemClock m_clock;
     FlowCache m_cache;
-    Forwarder m_forwarder;
+    std::unique_ptr<IForwarder> m_forwarder;
     std::atomic<bool> m_stop { false };
     std::vector<std::unique_ptr<BalancerWorker>> m_workers;
     std::vector<std::thread> m_threads;
