Serve HTTP requests through the gate with three outcomes

Cause: the agent ends callers' connections and needs a gate to the backend server. Ruled out: Pistache's client, which buffers whole answers; one task that reads the caller only between requests, which would not see it leave. Change: IRequestGate over Boost.Beast, streaming both ways; RequestLedger binds each request to one exchange; RequestQueue, RetryBudget, Watchdog, limits, framing checks, drain. co_await stands alone in statements: GCC 12 laid out a frame 8 bytes off for 'if (!co_await x)' in a loop and freed temporaries twice (seen as a crash of the first run of RequestGate tests). Before: no gate; first run crashed. After: 6 gate tests pass.

--- /dev/null
+++ b/src/requests/internal/calleroutput.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "foundation/iclock.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <string_view>
+
+namespace clementinesill {
+class IByteStream;
+}
+
+namespace clementinesill::requests {
+
+// Writes to one caller and resets the connection if it takes nothing for too long.
+class CallerOutput {
+public:
+    CallerOutput(IByteStream& stream, boost::asio::any_io_executor executor, Duration stallTimeout);
+
+    // Whether all bytes were taken by the transport. After a failure nothing more is written.
+    boost::asio::awaitable<bool> write(std::string_view bytes);
+
+    // Resets the connection.
+    void abort();
+    bool failed() const { return m_failed; }
+
+private:
+    IByteStream& m_stream;
+    boost::asio::any_io_executor m_executor;
+    Duration m_stallTimeout;
+    bool m_failed = false;
+};
+
+} // namespace clementinesill::requests
--- /dev/null
+++ b/src/requests/internal/requestgate.cpp
@@ -0,0 +1,52 @@
+#include "requests/internal/callerconnection.h"
+#include "requests/irequestgate.h"
+
+#include "foundation/log.h"
+#include "foundation/metrics.h"
+
+#include <set>
+
+namespace clementinesill::requests {
+
+namespace {
+
+class RequestGate final : public IRequestGate {
+public:
+    RequestGate(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::io_context& context)
+        : m_state(options, admission, clock, metrics, context.get_executor())
+    {
+    }
+
+    boost::asio::awaitable<void> serve(IByteStream& caller, const CallerContext& context) override
+    {
+        CallerConnection connection(m_state, caller, context);
+        m_connections.insert(&connection);
+        try {
+            co_await connection.run();
+        } catch (const std::exception& error) {
+            log(LogLevel::Error, "caller_connection_failed", { { "service", m_state.options.service }, { "reason", error.what() } });
+        }
+        m_connections.erase(&connection);
+    }
+
+    void drain() override
+    {
+        m_state.draining = true;
+        m_state.pool.clear();
+        for (auto* connection : m_connections)
+            connection->drain();
+    }
+
+private:
+    GateState m_state;
+    std::set<CallerConnection*> m_connections;
+};
+
+} // namespace
+
+std::unique_ptr<IRequestGate> makeRequestGate(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::io_context& context)
+{
+    return std::make_unique<RequestGate>(options, admission, clock, metrics, context);
+}
+
+} // namespace clementinesill::requests
--- /dev/null
+++ b/src/requests/tests/fakeserver.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "requests/internal/signal.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace clementinesill::requests {
+
+// Backend server on loopback that does what its script says with each connection.
+class FakeServer {
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+    using Script = std::function<boost::asio::awaitable<void>(Socket&, FakeServer&)>;
+
+    FakeServer(boost::asio::io_context& context, std::uint16_t port, Script script)
+        : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), port })
+        , m_script(std::move(script))
+    {
+        boost::asio::co_spawn(context, accept(), boost::asio::detached);
+    }
+
+    // Takes no more connections; scripts in progress go on.
+    void stop()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+    // Reads a request without body, or with the Content-Length given, and records it; false at the end of the connection.
+    static boost::asio::awaitable<bool> readRequest(Socket& socket, FakeServer& server, std::size_t bodyBytes = 0)
+    {
+        std::string request;
+        char byte = 0;
+        while (!request.ends_with("\r\n\r\n")) {
+            const auto got = co_await readByte(socket, byte);
+            if (!got)
+                co_return false;
+            request += byte;
+        }
+        for (std::size_t index = 0; index < bodyBytes; ++index) {
+            const auto got = co_await readByte(socket, byte);
+            if (!got)
+                co_return false;
+            request += byte;
+        }
+        server.requests.push_back(request);
+        co_return true;
+    }
+
+    static boost::asio::awaitable<bool> readByte(Socket& socket, char& byte)
+    {
+        const auto [error, size] = co_await socket.async_read_some(boost::asio::buffer(&byte, 1), boost::asio::as_tuple(boost::asio::use_awaitable));
+        co_return !error && size == 1;
+    }
+
+    static boost::asio::awaitable<void> write(Socket& socket, std::string bytes)
+    {
+        co_await boost::asio::async_write(socket, boost::asio::buffer(bytes), boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+
+    // Resets the connection.
+    static void reset(Socket& socket)
+    {
+        boost::system::error_code ignored;
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    std::vector<std::string> requests;
+    int connections = 0;
+    // Set by a script that waits for the test.
+    std::unique_ptr<Signal> release;
+
+private:
+    boost::asio::awaitable<void> accept()
+    {
+        while (true) {
+            auto [error, socket] = co_await m_acceptor.async_accept(boost::asio::as_tuple(boost::asio::use_awaitable));
+            if (error)
+                co_return;
+            ++connections;
+            boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(Socket socket) { co_await m_script(socket, *this); }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    Script m_script;
+};
+
+} // namespace clementinesill::requests
--- /dev/null
+++ b/src/requests/tests/irequestgate.cpp
@@ -0,0 +1,136 @@
+#include "requests/irequestgate.h"
+
+#include "gateharness.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace clementinesill;
+using namespace clementinesill::requests;
+
+namespace {
+
+constexpr std::string_view simpleGet = "GET /a HTTP/1.1\r\nHost: s\r\n\r\n";
+
+// Answers every request with its number on the connection.
+boost::asio::awaitable<void> answerAll(FakeServer::Socket& socket, FakeServer& server)
+{
+    while (true) {
+        const auto got = co_await FakeServer::readRequest(socket, server);
+        if (!got)
+            co_return;
+        const auto body = "answer " + std::to_string(server.requests.size());
+        const auto answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        co_await FakeServer::write(socket, answer);
+    }
+}
+
+bool contains(std::string_view text, std::string_view part)
+{
+    return text.find(part) != std::string_view::npos;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(RequestGate) {};
+// clang-format on
+
+TEST(RequestGate, ServesRequestsOfOneConnectionInOrder)
+{
+    GateHarness harness(answerAll);
+    auto& caller = harness.connect();
+    caller.send(simpleGet);
+    CHECK(harness.runUntilReceived(caller, "answer 1"));
+    caller.send(std::string(simpleGet) + std::string(simpleGet));
+    CHECK(harness.runUntilReceived(caller, "answer 3"));
+    CHECK(contains(harness.server->requests[0], "X-Forwarded-For: 10.0.0.1\r\n"));
+    CHECK(contains(harness.server->requests[0], "Request-Timeout-Ms: "));
+    CHECK_EQUAL(1, harness.server->connections);
+    CHECK_EQUAL(0U, harness.admission.load().requests);
+}
+
+TEST(RequestGate, StreamsAnAnswerThatStaysOpen)
+{
+    GateHarness harness([](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+        co_await FakeServer::readRequest(socket, server);
+        co_await FakeServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
+        char byte = 0;
+        co_await FakeServer::readByte(socket, byte);
+    });
+    auto& caller = harness.connect();
+    caller.send(simpleGet);
+    CHECK(harness.runUntilReceived(caller, "first"));
+    // A feed gives its slot back while it stays open.
+    CHECK_EQUAL(0U, harness.admission.load().requests);
+    caller.sendEnd();
+    CHECK(harness.runUntilServed());
+}
+
+TEST(RequestGate, StreamsARequestBody)
+{
+    GateHarness harness([](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+        co_await FakeServer::readRequest(socket, server, 10);
+        co_await FakeServer::write(socket, "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+    });
+    auto& caller = harness.connect();
+    caller.send("POST /order HTTP/1.1\r\nHost: s\r\nContent-Length: 10\r\n\r\n01234");
+    CHECK(harness.runUntil([&] { return harness.server->connections == 1; }));
+    caller.send("56789");
+    CHECK(harness.runUntilReceived(caller, "201 Created"));
+    CHECK(harness.server->requests[0].ends_with("0123456789"));
+}
+
+TEST(RequestGate, RefusesAsNotRunWhenTheServerIsDown)
+{
+    GateHarness harness(answerAll);
+    harness.server->stop();
+    auto& caller = harness.connect();
+    caller.send(simpleGet);
+    CHECK(harness.runUntilReceived(caller, "503 Service Unavailable"));
+    CHECK(contains(caller.received, "Clementinesill-Outcome: not-run"));
+    CHECK(contains(caller.received, "Retry-After: 1"));
+}
+
+TEST(RequestGate, DrainEndsAnIdleConnectionAndCutsNoRequest)
+{
+    GateHarness harness([](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+        co_await FakeServer::readRequest(socket, server);
+        server.release = std::make_unique<Signal>(socket.get_executor());
+        co_await server.release->wait();
+        co_await FakeServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+    },
+        { .drainGrace = std::chrono::milliseconds(1) });
+    auto& idle = harness.connect();
+    auto& busy = harness.connect();
+    busy.send(simpleGet);
+    CHECK(harness.runUntil([&] { return harness.server->release != nullptr; }));
+    harness.gate->drain();
+    CHECK(harness.runUntil([&] { return idle.ended; }));
+    CHECK_FALSE(busy.ended);
+    harness.server->release->notify();
+    CHECK(harness.runUntilReceived(busy, "whole"));
+    CHECK(contains(busy.received, "Connection: close"));
+    CHECK(harness.runUntilServed());
+}
+
+TEST(RequestGate, RefusesAmbiguousFraming)
+{
+    const std::vector<std::string> fields {
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: 5\r\nContent-Length: 5\r\n",
+        "Content-Length: 5, 5\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Host: t\r\n",
+    };
+    for (const auto& field : fields) {
+        GateHarness harness(answerAll);
+        auto& caller = harness.connect();
+        caller.send("POST /order HTTP/1.1\r\nHost: s\r\n" + field + "\r\n0\r\n\r\n");
+        CHECK_TEXT(harness.runUntilReceived(caller, "400 Bad Request"), field.c_str());
+        CHECK(contains(caller.received, "Clementinesill-Outcome: not-run"));
+        CHECK_EQUAL(0, harness.server->connections);
+    }
+}
--- a/src/requests/types/requestgateoptions.h
+++ b/src/requests/types/requestgateoptions.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "admission/types/queueoptions.h"
 #include "foundation/iclock.h"
 #include "foundation/types/endpoint.h"
+#include "requests/types/retrybudgetoptions.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -35,7 +37,11 @@
     Duration requestTimeout = std::chrono::seconds(30);
     // An unbounded answer that is still open after this time is a feed and gives its slot back.
     Duration feedAfter = std::chrono::seconds(1);
+    // How long a drain waits for a request on an idle connection before it ends it.
+    Duration drainGrace = std::chrono::seconds(1);
     RequestLimits limits;
+    admission::QueueOptions queue;
+    RetryBudgetOptions retries;
 };
 
 } // namespace clementinesill::requests
