--- a/src/requests/internal/callerconnection.cpp
+++ b/src/requests/internal/callerconnection.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 // Read ahead beyond the header limit, so that a header always fits.
-constexpr std::size_t readAheadBytes = 16 * 1024;
+constexpr std::size_t readAheadBytes = std::size_t { 16 } * 1024;
 } // namespace
 
 CallerConnection::CallerConnection(GateState& gate, IByteStream& stream, const CallerContext& context)
--- a/src/requests/internal/callerinput.cpp
+++ b/src/requests/internal/callerinput.cpp
@@ -8,7 +8,7 @@
 namespace clementinesill::requests {
 
 namespace {
-constexpr std::size_t readBytes = 16 * 1024;
+constexpr std::size_t readBytes = std::size_t { 16 } * 1024;
 }
 
 CallerInput::CallerInput(IByteStream& stream, boost::asio::any_io_executor executor, std::size_t capacity)
--- a/src/requests/internal/requesttask.cpp
+++ b/src/requests/internal/requesttask.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::size_t bodyPartBytes = 16 * 1024;
+constexpr std::size_t bodyPartBytes = std::size_t { 16 } * 1024;
 constexpr auto failureRetryAfter = std::chrono::seconds(1);
 
 boost::beast::string_view beastView(std::string_view text)
--- a/src/requests/types/requestgateoptions.h
+++ b/src/requests/types/requestgateoptions.h
@@ -14,9 +14,9 @@
 // Bounds on what a caller sends.
 struct RequestLimits {
     // Request line and header fields together.
-    std::size_t headerBytes = 16 * 1024;
+    std::size_t headerBytes = std::size_t { 16 } * 1024;
     std::size_t headerCount = 100;
-    std::size_t targetBytes = 8 * 1024;
+    std::size_t targetBytes = std::size_t { 8 } * 1024;
     // From the first byte of a request to the end of its header, and for the first request of a connection.
     Duration headerTimeout = std::chrono::seconds(10);
     // Between two requests of a connection.
