Test the gate's outcomes at every byte, and run keyed orders at most once

Cause: the promises about answers and orders had no test under faults. Ruled out: waiting duplicates of a running key: they hold memory for as long as the first runs; they get 409 with Retry-After at once. Change: KeyGuard ties a request to its key in the gate; a keyed order's answer is read to its end and stored although its caller left; IKeyClaims is the place for claims across agents. Tests cut the exchange at every byte on both sides.

--- a/src/requests/internal/gatestate.h
+++ b/src/requests/internal/gatestate.h
@@ -2,6 +2,7 @@
 
 #include "requests/internal/requestadmitter.h"
 #include "requests/internal/serverpool.h"
+#include "requests/keystore.h"
 #include "requests/requestledger.h"
 #include "requests/retrybudget.h"
 #include "requests/types/requestgateoptions.h"
@@ -12,9 +13,11 @@
 
 namespace clementinesill::requests {
 
+class IKeyClaims;
+
 // What all connections of a gate share.
 struct GateState {
-    GateState(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::any_io_executor executor)
+    GateState(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::any_io_executor executor, IKeyClaims* claims)
         : options(options)
         , admission(admission)
         , clock(clock)
@@ -23,6 +26,8 @@
         , admitter(admission, options.queue, clock, executor)
         , retryBudget(options.retries)
         , pool(executor, ledger)
+        , keys(options.keys, clock)
+        , claims(claims)
     {
     }
 
@@ -35,6 +40,9 @@
     RetryBudget retryBudget;
     RequestLedger ledger;
     ServerPool pool;
+    KeyStore keys;
+    // Null if keys hold on this agent only.
+    IKeyClaims* claims;
     bool draining = false;
 };
 
--- a/src/requests/internal/localanswer.cpp
+++ b/src/requests/internal/localanswer.cpp
@@ -1,6 +1,7 @@
 #include "requests/internal/localanswer.h"
 
 #include "requests/internal/httprules.h"
+#include "requests/types/storedanswer.h"
 
 namespace clementinesill::requests {
 
@@ -26,4 +27,18 @@
     return bytes;
 }
 
+std::string serialize(const StoredAnswer& answer, bool closes)
+{
+    AnswerHeader header;
+    header.version(11);
+    header.result(answer.status);
+    for (const auto& [name, value] : answer.fields)
+        header.insert(name, value);
+    header.set(http::field::content_length, std::to_string(answer.body.size()));
+    header.set("Idempotency-Replayed", "true");
+    if (closes)
+        header.set(http::field::connection, "close");
+    return serialize(header) + answer.body;
+}
+
 } // namespace clementinesill::requests
--- a/src/requests/internal/localanswer.h
+++ b/src/requests/internal/localanswer.h
@@ -19,6 +19,11 @@
     std::string message;
 };
 
+struct StoredAnswer;
+
+// Bytes of an answer that is given again, marked by Idempotency-Replayed.
+std::string serialize(const StoredAnswer& answer, bool closes);
+
 // Bytes of the answer. closes: the connection ends after it. headRequest: without the body.
 std::string serialize(const LocalAnswer& answer, bool closes, bool headRequest);
 
--- a/src/requests/internal/requestgate.cpp
+++ b/src/requests/internal/requestgate.cpp
@@ -12,8 +12,8 @@
 
 class RequestGate final : public IRequestGate {
 public:
-    RequestGate(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::io_context& context)
-        : m_state(options, admission, clock, metrics, context.get_executor())
+    RequestGate(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::io_context& context, IKeyClaims* claims)
+        : m_state(options, admission, clock, metrics, context.get_executor(), claims)
     {
     }
 
@@ -44,9 +44,9 @@
 
 } // namespace
 
-std::unique_ptr<IRequestGate> makeRequestGate(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::io_context& context)
+std::unique_ptr<IRequestGate> makeRequestGate(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::io_context& context, IKeyClaims* claims)
 {
-    return std::make_unique<RequestGate>(options, admission, clock, metrics, context);
+    return std::make_unique<RequestGate>(options, admission, clock, metrics, context, claims);
 }
 
 } // namespace clementinesill::requests
--- a/src/requests/internal/requesttask.cpp
+++ b/src/requests/internal/requesttask.cpp
@@ -3,6 +3,7 @@
 #include "foundation/histogram.h"
 #include "foundation/log.h"
 #include "foundation/metrics.h"
+#include "requests/ikeyclaims.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <charconv>
+#include <vector>
 
 namespace clementinesill::requests {
 
@@ -47,6 +49,34 @@
     return error == std::errc() && end == text.data() + text.size() ? id : ~RequestId { 0 };
 }
 
+// What a caller is told of a key that is not run, in the order of KeyVerdict.
+struct KeyAnswer {
+    std::string_view reason;
+    http::status status;
+    Outcome outcome;
+    bool retry;
+    std::string_view message;
+};
+
+constexpr std::array<KeyAnswer, 7> keyAnswers { {
+    { "", http::status::ok, Outcome::Answered, false, "" },
+    { "key_running", http::status::conflict, Outcome::Unknown, true, "the first request of this Idempotency-Key is still running; send it again after the time in Retry-After" },
+    { "", http::status::ok, Outcome::Answered, false, "" },
+    { "key_answer_gone", http::status::conflict, Outcome::Unknown, false, "the request of this Idempotency-Key ran and its answer is no longer stored; read its effect instead" },
+    { "key_unknown", http::status::conflict, Outcome::Unknown, false, "the request of this Idempotency-Key may have run; check its effect before sending it with another key" },
+    { "key_mismatch", http::status::unprocessable_entity, Outcome::NotRun, false, "this Idempotency-Key belongs to another request; send a new key" },
+    { "key_store_full", http::status::service_unavailable, Outcome::NotRun, true, "the request was not run: too many keys are remembered; send it again after the time in Retry-After" },
+} };
+
+LocalAnswer keyAnswer(KeyVerdict verdict)
+{
+    const auto& row = keyAnswers[static_cast<std::size_t>(verdict)];
+    LocalAnswer answer { .status = row.status, .outcome = row.outcome, .message = std::string(row.message) };
+    if (row.retry)
+        answer.retryAfter = failureRetryAfter;
+    return answer;
+}
+
 std::string_view reasonName(admission::AdmissionReason reason)
 {
     static constexpr std::array<std::string_view, 8> names { "admitted", "draining", "zone_out", "connection_limit", "slot_limit",
@@ -99,12 +129,88 @@
     } else {
         m_ownDeadline = *timeout < m_gate.options.requestTimeout;
         m_deadline = m_begin + *timeout;
-        co_await admitAndExchange();
+        if (m_class == RequestClass::Order && m_header.count(beastView(idempotencyKeyField)) > 0)
+            co_await serveKeyed();
+        else
+            co_await admitAndExchange();
     }
     record();
     co_return m_keepAlive&& m_reader.bodyDone() && !m_output.failed();
 }
 
+boost::asio::awaitable<void> RequestTask::serveKeyed()
+{
+    m_key.emplace(m_gate, m_header);
+    const auto size = m_key->key().size();
+    if (size == 0 || size > m_gate.options.keys.keyBytes) {
+        m_reason = "bad_request";
+        const LocalAnswer answer { .status = http::status::bad_request, .message = "Idempotency-Key empty or too long; send 1 to 255 characters" };
+        co_await reply(answer);
+        co_return;
+    }
+    const auto verdict = m_key->begin();
+    if (verdict == KeyVerdict::Run) {
+        co_await claimAndExchange();
+        m_key.reset();
+        co_return;
+    }
+    if (verdict == KeyVerdict::Stored) {
+        co_await replayStored();
+        co_return;
+    }
+    m_reason = keyAnswers[static_cast<std::size_t>(verdict)].reason;
+    const auto answer = keyAnswer(verdict);
+    co_await reply(answer);
+}
+
+boost::asio::awaitable<void> RequestTask::claimAndExchange()
+{
+    auto verdict = ClaimVerdict::Granted;
+    if (m_gate.claims)
+        verdict = co_await m_gate.claims->claim(m_key->key(), m_key->fingerprint());
+    if (verdict == ClaimVerdict::Granted) {
+        co_await admitAndExchange();
+        co_return;
+    }
+    m_key->forget();
+    auto answer = keyAnswer(KeyVerdict::Running);
+    m_reason = "key_taken";
+    if (verdict == ClaimVerdict::NoMajority) {
+        answer = { .retryAfter = failureRetryAfter, .message = "this attempt was not run: too few agents answered for its Idempotency-Key; send it again with the same key" };
+        m_reason = "key_no_majority";
+    }
+    co_await reply(answer);
+}
+
+// The stored answer is given only once the whole body is known to be that of the first request.
+boost::asio::awaitable<void> RequestTask::replayStored()
+{
+    if (expectsContinue(m_header) && !m_reader.bodyDone())
+        co_await m_output.write("HTTP/1.1 100 Continue\r\n\r\n");
+    std::vector<char> buffer(bodyPartBytes);
+    while (!m_reader.bodyDone()) {
+        std::size_t size = 0;
+        const auto end = co_await m_reader.readBody(buffer, size);
+        if (end != ReadEnd::Ok) {
+            m_reason = "caller_broken";
+            const LocalAnswer answer { .status = http::status::bad_request, .outcome = Outcome::Unknown, .message = "incomplete body; send the whole request again" };
+            co_await reply(answer);
+            co_return;
+        }
+        m_key->addBody({ buffer.data(), size });
+    }
+    const auto* stored = m_gate.keys.stored(m_key->key(), m_key->digest());
+    if (!stored) {
+        m_reason = keyAnswers[static_cast<std::size_t>(KeyVerdict::Mismatch)].reason;
+        const auto answer = keyAnswer(KeyVerdict::Mismatch);
+        co_await reply(answer);
+        co_return;
+    }
+    const auto bytes = serialize(*stored, !m_keepAlive);
+    const auto written = co_await m_output.write(bytes);
+    m_outcome = written ? Outcome::Answered : Outcome::Cut;
+}
+
 boost::asio::awaitable<void> RequestTask::admitAndExchange()
 {
     m_gate.retryBudget.onRequest();
@@ -175,6 +281,8 @@
 {
     Watchdog deadline(m_gate.executor, timeLeft(), [connection = m_connection] { connection->abort(AbortReason::Deadline); });
     m_gate.ledger.handOver(m_id);
+    if (m_key)
+        m_key->onHandedOver();
     m_handedOver = m_gate.clock.now();
     // A server that closes early may have answered already, so a failed write does not end the exchange.
     const auto header = serialize(serverHeader());
@@ -221,9 +329,13 @@
         });
     }
     m_gate.ledger.deliver(m_id);
+    // An answer whose wholeness cannot be told is not stored.
+    if (m_key && !m_connection->endsWithConnection())
+        m_key->addAnswerHeader(header);
     const auto bytes = serialize(header);
     const auto begun = co_await m_output.write(bytes);
-    if (!begun)
+    // The answer of a keyed request is read to its end for the next try, even if its caller is gone.
+    if (!begun && !m_key)
         co_return ExchangeEnd::Cut;
     const auto whole = co_await forwardBody(chunked);
     if (!whole)
@@ -243,14 +355,18 @@
         if (size == 0)
             break;
         std::string bytes(part.data(), size);
+        if (m_key)
+            m_key->addAnswerBody(bytes);
         if (chunked)
             bytes = chunk(bytes);
         const auto written = co_await m_output.write(bytes);
-        if (!written)
+        if (!written && !m_key)
             co_return false;
     }
+    if (m_key && m_reader.bodyDone())
+        m_key->onAnswered();
     if (!chunked)
-        co_return true;
+        co_return !m_output.failed();
     const auto last = lastChunk();
     const auto ended = co_await m_output.write(last);
     co_return ended;
@@ -270,6 +386,8 @@
                 connection->abort(AbortReason::CallerBroken);
             sent = false;
         } else if (size > 0) {
+            if (m_key)
+                m_key->addBody({ buffer.data(), size });
             const std::string_view part(buffer.data(), size);
             sent = co_await sendBodyPart(part, chunked);
         }
@@ -318,7 +436,8 @@
 // The caller's end is taken as leaving, but for orders: half a close must not cut one that runs.
 void RequestTask::onCallerEnd()
 {
-    if (m_input.reset() || m_class != RequestClass::Order)
+    const auto leaves = m_class == RequestClass::Order ? m_input.reset() && !m_key : true;
+    if (leaves)
         m_connection->abort(AbortReason::CallerGone);
 }
 
--- a/src/requests/internal/requesttask.h
+++ b/src/requests/internal/requesttask.h
@@ -3,6 +3,7 @@
 #include "requests/internal/calleroutput.h"
 #include "requests/internal/gatestate.h"
 #include "requests/internal/httprules.h"
+#include "requests/internal/keyguard.h"
 #include "requests/internal/localanswer.h"
 #include "requests/internal/requestreader.h"
 #include "requests/internal/watchdog.h"
@@ -40,6 +41,9 @@
         Failed,
     };
 
+    boost::asio::awaitable<void> serveKeyed();
+    boost::asio::awaitable<void> claimAndExchange();
+    boost::asio::awaitable<void> replayStored();
     boost::asio::awaitable<void> admitAndExchange();
     boost::asio::awaitable<ExchangeEnd> exchange(bool retried);
     boost::asio::awaitable<bool> openConnection(bool retried);
@@ -83,6 +87,7 @@
     Outcome m_outcome = Outcome::NotRun;
     std::string m_reason = "answered";
 
+    std::optional<KeyGuard> m_key;
     std::optional<RequestTicket> m_ticket;
     std::shared_ptr<ServerConnection> m_connection;
     BodyState m_body = BodyState::None;
--- a/src/requests/irequestgate.h
+++ b/src/requests/irequestgate.h
@@ -30,7 +30,10 @@
     virtual void drain() = 0;
 };
 
-// admission, clock, metrics and context outlive the gate, and the gate outlives every serve.
-std::unique_ptr<IRequestGate> makeRequestGate(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::io_context& context);
+class IKeyClaims;
+
+// admission, clock, metrics, context and claims outlive the gate, and the gate outlives every serve.
+// Without claims an idempotency key holds on this agent only.
+std::unique_ptr<IRequestGate> makeRequestGate(const RequestGateOptions& options, admission::IAdmission& admission, const IClock& clock, MetricsRegistry& metrics, boost::asio::io_context& context, IKeyClaims* claims = nullptr);
 
 } // namespace clementinesill::requests
--- a/src/requests/tests/fakestream.h
+++ b/src/requests/tests/fakestream.h
@@ -60,6 +60,8 @@
 
     void abort() override
     {
+        // After the end was sent, everything sent before has arrived.
+        resetByGate = resetByGate || !ended;
         aborted = true;
         m_changed.notify();
     }
@@ -67,6 +69,8 @@
     std::string received;
     bool ended = false;
     bool aborted = false;
+    // The gate reset the connection, so that the caller knows that something is missing.
+    bool resetByGate = false;
 
 private:
     std::string m_incoming;
--- a/src/requests/tests/gateharness.h
+++ b/src/requests/tests/gateharness.h
@@ -20,7 +20,7 @@
         server.emplace(context, port, std::move(script));
         options.service = "orders";
         options.server = { .address = 0x7f000001, .port = port };
-        options.limits.lingerTimeout = std::chrono::milliseconds(20);
+        options.limits.lingerTimeout = std::chrono::milliseconds(2);
         gate = makeRequestGate(options, admission, clock, metrics, context);
     }
 
--- a/src/requests/types/requestgateoptions.h
+++ b/src/requests/types/requestgateoptions.h
@@ -3,6 +3,7 @@
 #include "admission/types/queueoptions.h"
 #include "foundation/iclock.h"
 #include "foundation/types/endpoint.h"
+#include "requests/types/keystoreoptions.h"
 #include "requests/types/retrybudgetoptions.h"
 
 #include <cstddef>
@@ -42,6 +43,7 @@
     RequestLimits limits;
     admission::QueueOptions queue;
     RetryBudgetOptions retries;
+    KeyStoreOptions keys;
 };
 
 } // namespace clementinesill::requests
