Queue requests by time and measure goodput under overload

Cause: bursts need a short queue, and overload must not cost goodput. Change: QueuedAdmission joins admission and queue; the gate's admitter only wakes tasks. A discrete-event model of callers and server drives the same classes in a test and in bench_admission. growthInterval 250 ms -> 1 s.

--- /dev/null
+++ b/src/admission/tests/overloadmodel.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include "admission/admission.h"
+#include "admission/queuedadmission.h"
+#include "foundation/seededrandom.h"
+#include "testing/manualclock.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+
+namespace clementinesill::admission {
+
+// What the model's callers and server do.
+struct OverloadOptions {
+    // Arrivals over what the warm server finishes.
+    double load = 1;
+    std::uint64_t seed = 1;
+    Duration length = std::chrono::seconds(60);
+    std::uint32_t slots = 5;
+    Duration serviceTime = std::chrono::milliseconds(20);
+    // Time after which a cold server bears its slots; it bears one request at the start.
+    Duration coldTime { 0 };
+    // When the server turns cold without a restart; never if zero.
+    Duration turnsCold { 0 };
+    bool warmupOff = false;
+    // Without admission and queue: everything goes to the server at once.
+    bool admissionOff = false;
+};
+
+struct OverloadResult {
+    // Answered within the callers' patience, over what the warm server can finish in the time.
+    double goodput = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint32_t mostAtOnce = 0;
+    // Requests started while the server bore fewer than were running.
+    std::uint64_t overruns = 0;
+    std::uint64_t collapses = 0;
+};
+
+// Discrete events on a manual clock: Poisson callers who come back as Retry-After says, and a server whose requests
+// slow each other down beyond what it bears and which falls over, cold, at three times as many.
+class OverloadModel {
+public:
+    explicit OverloadModel(const OverloadOptions& options)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_admission({ .slots = options.slots, .connectionLimit = 1000000, .warmupOff = options.warmupOff }, m_clock)
+        , m_queued(m_admission, {}, m_clock)
+        , m_begin(m_clock.now())
+        , m_coldSince(m_begin)
+    {
+    }
+
+    OverloadResult run()
+    {
+        scheduleArrival();
+        if (m_options.turnsCold > Duration::zero())
+            at(m_options.turnsCold, [this] { m_coldSince = m_clock.now(); });
+        while (!m_events.empty() && m_events.begin()->first <= m_begin + m_options.length) {
+            const auto event = m_events.begin();
+            m_clock.advance(event->first - m_clock.now());
+            const auto action = std::move(event->second);
+            m_events.erase(event);
+            action();
+        }
+        const std::chrono::duration<double> length = m_options.length;
+        m_result.goodput = static_cast<double>(m_result.answered) / (length.count() * capacity());
+        return m_result;
+    }
+
+private:
+    static constexpr Duration patience = std::chrono::seconds(1);
+    static constexpr std::uint32_t collapseFactor = 3;
+    static constexpr int attempts = 3;
+
+    struct Request {
+        MonotonicTime arrived;
+        int attempt = 1;
+    };
+
+    double capacity() const { return m_options.slots / std::chrono::duration<double>(m_options.serviceTime).count(); }
+
+    double uniform() { return static_cast<double>(m_random.below(1U << 30) + 1) / static_cast<double>(1U << 30); }
+
+    void at(Duration delay, std::function<void()> action) { m_events.emplace(m_clock.now() + delay, std::move(action)); }
+
+    double bears() const
+    {
+        if (m_options.coldTime <= Duration::zero())
+            return m_options.slots;
+        const auto share = std::chrono::duration<double>(m_clock.now() - m_coldSince) / std::chrono::duration<double>(m_options.coldTime);
+        return 1 + (m_options.slots - 1) * std::min(1.0, share);
+    }
+
+    void scheduleArrival()
+    {
+        const std::chrono::duration<double> gap(-std::log(uniform()) / (m_options.load * capacity()));
+        at(std::chrono::duration_cast<Duration>(gap), [this] {
+            scheduleArrival();
+            arrive({ m_clock.now(), 1 });
+        });
+    }
+
+    void arrive(Request request)
+    {
+        request.arrived = m_clock.now();
+        if (m_options.admissionOff) {
+            start(request);
+            return;
+        }
+        const auto entry = m_queued.enter(QueuePriority::Normal);
+        if (!entry.place) {
+            proceed(entry.decision, request);
+            return;
+        }
+        const auto id = entry.place->id;
+        m_waiting.emplace(id, request);
+        at(entry.place->longestWait, [this, id, request] {
+            if (m_waiting.erase(id) > 0)
+                proceed(m_queued.leave(id), request);
+        });
+    }
+
+    void proceed(const AdmissionDecision& decision, Request request)
+    {
+        if (decision.admitted()) {
+            start(request);
+            return;
+        }
+        ++m_result.refused;
+        if (request.attempt == attempts)
+            return;
+        ++request.attempt;
+        at(decision.retryAfter, [this, request] { arrive(request); });
+    }
+
+    void start(const Request& request)
+    {
+        ++m_running;
+        m_result.mostAtOnce = std::max(m_result.mostAtOnce, m_running);
+        const auto over = m_running / bears();
+        if (over > 1)
+            ++m_result.overruns;
+        if (over > collapseFactor) {
+            // Everything that runs is lost and the server starts cold.
+            ++m_result.collapses;
+            m_coldSince = m_clock.now();
+            ++m_generation;
+        }
+        const auto slower = std::max(1.0, over * over);
+        const auto spread = 0.5 + uniform();
+        const auto time = std::chrono::duration_cast<Duration>(m_options.serviceTime * (slower * spread));
+        const auto generation = m_generation;
+        at(time, [this, request, generation, time] { finish(request, generation == m_generation, time); });
+    }
+
+    void finish(const Request& request, bool survived, Duration latency)
+    {
+        --m_running;
+        if (survived && m_clock.now() - request.arrived <= patience)
+            ++m_result.answered;
+        if (m_options.admissionOff)
+            return;
+        const auto end = survived ? RequestEnd::Answered : RequestEnd::Failed;
+        for (const auto id : m_queued.finish({ .end = end, .latency = latency })) {
+            const auto waiting = m_waiting.extract(id);
+            start(waiting.mapped());
+        }
+    }
+
+    OverloadOptions m_options;
+    SeededRandom m_random;
+    ManualClock m_clock;
+    Admission m_admission;
+    QueuedAdmission m_queued;
+    MonotonicTime m_begin;
+    MonotonicTime m_coldSince;
+    std::multimap<MonotonicTime, std::function<void()>> m_events;
+    std::map<std::uint64_t, Request> m_waiting;
+    std::uint32_t m_running = 0;
+    std::uint64_t m_generation = 0;
+    OverloadResult m_result;
+};
+
+} // namespace clementinesill::admission
--- a/src/admission/types/warmupoptions.h
+++ b/src/admission/types/warmupoptions.h
@@ -15,7 +15,7 @@
     // Factor of the limit after a request was shed, failed or timed out.
     double shrinkFactor = 0.5;
     // Shortest time between two steps of growth; doubled by each fall until growth succeeds.
-    Duration growthInterval = std::chrono::milliseconds(250);
+    Duration growthInterval = std::chrono::seconds(1);
     Duration growthIntervalMaximum = std::chrono::seconds(8);
     // Falls caused by requests of one overload count once within this time.
     Duration shrinkInterval = std::chrono::milliseconds(250);
--- /dev/null
+++ b/src/bench/bench_admission.cpp
@@ -0,0 +1,107 @@
+// Costs of the admission's decisions, and goodput under overload in the discrete-event model of its tests.
+#include "admission/admission.h"
+#include "admission/queuedadmission.h"
+#include "admission/tests/overloadmodel.h"
+#include "foundation/systemclock.h"
+#include "requests/keystore.h"
+#include "requests/requestledger.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace clementinesill;
+using namespace clementinesill::admission;
+
+namespace {
+
+constexpr std::int64_t modelRuns = 5;
+
+void admitAndFinish(benchmark::State& state)
+{
+    const SystemClock clock;
+    Admission admission({ .warmupOff = state.range(0) == 0 }, clock);
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(admission.admitRequest());
+        admission.finishRequest({ .end = RequestEnd::Answered, .latency = std::chrono::milliseconds(5) });
+    }
+}
+BENCHMARK(admitAndFinish)->ArgName("warmup")->Arg(0)->Arg(1);
+
+void refuse(benchmark::State& state)
+{
+    const SystemClock clock;
+    Admission admission({ .slots = 1 }, clock);
+    admission.admitRequest();
+    for (auto _ : state)
+        benchmark::DoNotOptimize(admission.admitRequest());
+}
+BENCHMARK(refuse);
+
+void queueAndFinish(benchmark::State& state)
+{
+    const SystemClock clock;
+    Admission admission({ .slots = 1 }, clock);
+    QueuedAdmission queued(admission, {}, clock);
+    queued.enter(QueuePriority::Normal);
+    for (auto _ : state) {
+        queued.enter(QueuePriority::Normal);
+        benchmark::DoNotOptimize(queued.finish({}));
+    }
+}
+BENCHMARK(queueAndFinish);
+
+void ledgerExchange(benchmark::State& state)
+{
+    requests::RequestLedger ledger;
+    for (auto _ : state) {
+        const auto request = ledger.begin();
+        ledger.bind(request, 1);
+        ledger.handOver(request);
+        benchmark::DoNotOptimize(ledger.answer(1, request));
+        ledger.deliver(request);
+        ledger.complete(request);
+        ledger.end(request);
+    }
+}
+BENCHMARK(ledgerExchange);
+
+void keyBeginAndAnswer(benchmark::State& state)
+{
+    const SystemClock clock;
+    requests::KeyStore store({ .keys = 1U << 30U }, clock);
+    std::uint64_t number = 0;
+    for (auto _ : state) {
+        const auto key = std::to_string(++number);
+        store.begin(key, number);
+        store.answered(key, {}, requests::StoredAnswer { .status = 201 });
+    }
+}
+BENCHMARK(keyBeginAndAnswer)->Iterations(100000);
+
+// Goodput over the warm server's capacity. policy: 0 no admission, 1 slots and queue, 2 with warm-up limit.
+void goodput(benchmark::State& state)
+{
+    const auto load = static_cast<double>(state.range(0));
+    const auto policy = state.range(1);
+    const auto cold = std::chrono::seconds(state.range(2));
+    double sum = 0;
+    double least = 1e9;
+    double collapses = 0;
+    double overruns = 0;
+    std::uint64_t seed = 0;
+    for (auto _ : state) {
+        const auto result = OverloadModel({ .load = load, .seed = ++seed, .coldTime = cold, .turnsCold = 3 * cold, .warmupOff = policy == 1, .admissionOff = policy == 0 }).run();
+        sum += result.goodput;
+        least = std::min(least, result.goodput);
+        collapses += static_cast<double>(result.collapses);
+        overruns += static_cast<double>(result.overruns);
+    }
+    state.counters["goodput"] = sum / modelRuns;
+    state.counters["least"] = least;
+    state.counters["collapses"] = collapses / modelRuns;
+    state.counters["overruns"] = overruns / modelRuns;
+}
+BENCHMARK(goodput)->ArgNames({ "load", "policy", "cold_s" })->ArgsProduct({ { 1, 2, 3 }, { 0, 1, 2 }, { 0, 10 } })->Iterations(modelRuns)->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/src/requests/internal/requestadmitter.cpp
+++ b/src/requests/internal/requestadmitter.cpp
@@ -5,61 +5,31 @@
 namespace clementinesill::requests {
 
 using admission::AdmissionDecision;
-using admission::AdmissionReason;
 
 RequestAdmitter::RequestAdmitter(admission::IAdmission& admission, const admission::QueueOptions& options, const IClock& clock, boost::asio::any_io_executor executor)
-    : m_admission(admission)
-    , m_queue(options, clock)
+    : m_admission(admission, options, clock)
     , m_executor(executor)
 {
 }
 
-bool RequestAdmitter::hasRoom() const
-{
-    const auto load = m_admission.load();
-    return load.requests < load.limit;
-}
-
 boost::asio::awaitable<AdmissionDecision> RequestAdmitter::admit(admission::QueuePriority priority, Duration longestWait)
 {
-    // Whoever waits already goes first.
-    if (m_queue.empty()) {
-        const auto decision = m_admission.admitRequest();
-        const auto passing = decision.reason == AdmissionReason::SlotLimit || decision.reason == AdmissionReason::WarmupLimit;
-        if (decision.admitted() || !passing)
-            co_return decision;
-    }
-    const auto place = m_queue.offer(priority);
-    if (!place) {
-        auto decision = m_admission.admitRequest();
-        if (!decision.admitted())
-            decision.reason = AdmissionReason::QueueTooLong;
-        co_return decision;
-    }
+    const auto entry = m_admission.enter(priority);
+    if (!entry.place)
+        co_return entry.decision;
+    const auto id = entry.place->id;
     Signal signal(m_executor);
-    const auto [waiter, inserted] = m_waiters.emplace(place->id, Waiter { signal });
-    co_await signal.wait(std::min(place->longestWait, longestWait));
-    const auto admitted = waiter->second.admitted;
-    m_waiters.erase(place->id);
-    if (admitted)
-        co_return AdmissionDecision {};
-    m_queue.remove(place->id);
-    co_return m_admission.admitRequest();
+    m_waiters.emplace(id, Waiter { signal });
+    co_await signal.wait(std::min(entry.place->longestWait, longestWait));
+    const auto admitted = m_waiters.at(id).admitted;
+    m_waiters.erase(id);
+    co_return admitted ? AdmissionDecision {} : m_admission.leave(id);
 }
 
 void RequestAdmitter::finish(const admission::RequestResult& result)
 {
-    m_admission.finishRequest(result);
-    admitQueued();
-}
-
-void RequestAdmitter::admitQueued()
-{
-    while (!m_queue.empty() && hasRoom()) {
-        if (!m_admission.admitRequest().admitted())
-            return;
-        const auto id = m_queue.take();
-        auto& waiter = m_waiters.at(*id);
+    for (const auto id : m_admission.finish(result)) {
+        auto& waiter = m_waiters.at(id);
         waiter.admitted = true;
         waiter.signal.notify();
     }
--- a/src/requests/internal/requestadmitter.h
+++ b/src/requests/internal/requestadmitter.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "admission/iadmission.h"
-#include "admission/requestqueue.h"
+#include "admission/queuedadmission.h"
 #include "requests/internal/signal.h"
 
 #include <map>
+#include <utility>
 
 namespace clementinesill::requests {
 
-// Lets requests start as the backend server's admission allows and queues the others for a short time.
+// Wakes the tasks of queued requests when they are admitted, and bounds their wait.
 class RequestAdmitter {
 public:
     RequestAdmitter(admission::IAdmission& admission, const admission::QueueOptions& options, const IClock& clock, boost::asio::any_io_executor executor);
@@ -18,7 +18,7 @@
 
     void finish(const admission::RequestResult& result);
 
-    std::size_t queued() const { return m_queue.size(); }
+    std::size_t queued() const { return m_admission.queued(); }
 
 private:
     struct Waiter {
@@ -26,11 +26,7 @@
         bool admitted = false;
     };
 
-    bool hasRoom() const;
-    void admitQueued();
-
-    admission::IAdmission& m_admission;
-    admission::RequestQueue m_queue;
+    admission::QueuedAdmission m_admission;
     boost::asio::any_io_executor m_executor;
     std::map<std::uint64_t, Waiter> m_waiters;
 };
