--- a/src/requests/types/requestgateoptions.h
+++ b/src/requests/types/requestgateoptions.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "admission/types/queueoptions.h"
 #include "foundation/iclock.h"
 #include "foundation/types/endpoint.h"
+#include "requests/types/keystoreoptions.h"
+#include "requests/types/retrybudgetoptions.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -12,9 +15,9 @@
 // Bounds on what a caller sends.
 struct RequestLimits {
     // Request line and header fields together.
-    std::size_t headerBytes = 16 * 1024;
+    std::size_t headerBytes = std::size_t { 16 } * 1024;
     std::size_t headerCount = 100;
-    std::size_t targetBytes = 8 * 1024;
+    std::size_t targetBytes = std::size_t { 8 } * 1024;
     // From the first byte of a request to the end of its header, and for the first request of a connection.
     Duration headerTimeout = std::chrono::seconds(10);
     // Between two requests of a connection.
@@ -35,7 +38,12 @@
     Duration requestTimeout = std::chrono::seconds(30);
     // An unbounded answer that is still open after this time is a feed and gives its slot back.
     Duration feedAfter = std::chrono::seconds(1);
+    // How long a drain waits for a request on an idle connection before it ends it.
+    Duration drainGrace = std::chrono::seconds(1);
     RequestLimits limits;
+    admission::QueueOptions queue;
+    RetryBudgetOptions retries;
+    KeyStoreOptions keys;
 };
 
 } // namespace clementinesill::requests
