Keep established flows whatever the tables do: search, confirmation, incarnations

Cause: an agent that was addressed under an old incarnation dropped the packet, so a restart of the server that ranks first broke flows held behind it. The end of a chain answered RST although the holder might have joined in a version that none of those asked had. A SYN on a reused port met the remains of the old connection; a closing entry took the packets of a later flow held elsewhere; half-open entries pinned admission for 20 s each.

Ruled out: delivering by the address alone (a stale sender may mean another life of the server); parking packets until the table is confirmed (TCP's own retransmission asks again, at no memory); SYN cookies (the agent must know the flow before the ACK, or any agent would take it).

Change: the flow table alone decides who holds a flow, with sequence windows that tell connections of one key apart; a misaddressed packet is looked up and goes on along the chain; each hop raises the table version and names servers that older tables lack; RST only once a controller confirmed the table after the first miss and every server was asked; half-open flows are bounded and the oldest is evicted; the stack forgets what a new SYN replaces; UDP flows are searched before they are opened anew. ITableSource tells when the table was last confirmed (TableHolder::confirm is for the fleet client).

Conclusion: what the property promises holds for servers that stay in the table; one that is removed while it still holds flows (no renewal for the whole expiry) loses them.

--- a/src/agent/internal/agentmodule.cpp
+++ b/src/agent/internal/agentmodule.cpp
@@ -4,6 +4,7 @@
 #include "agent/internal/flowrouter.h"
 #include "agent/internal/flowserver.h"
 #include "agent/internal/flowtable.h"
+#include "agent/internal/misslog.h"
 #include "agent/internal/packetpath.h"
 #include "control.pb.h"
 #include "fleet/fleettable.h"
@@ -36,6 +37,8 @@
 constexpr std::chrono::milliseconds tablePollInterval { 20 };
 constexpr std::chrono::milliseconds renewInterval { 700 };
 constexpr std::chrono::seconds expiryInterval { 1 };
+// Flows whose misses are remembered at once.
+constexpr std::size_t missLogFlows = 4096;
 
 // Limits connections alone, until admission is wired.
 class ConnectionLimit final : public admission::IAdmission {
@@ -82,7 +85,7 @@
     void start() override
     {
         const auto identity = registerServer();
-        m_router = std::make_unique<FlowRouter>(identity, m_flows, m_admission, m_clock);
+        m_router = std::make_unique<FlowRouter>(FlowRouterOptions { .identity = identity, .flows = m_flows, .misses = m_misses, .admission = m_admission, .clock = m_clock });
         m_path = std::make_unique<PacketPath>(m_loop, PacketPathOptions { .endpoint = parseEndpoint(m_settings.data_endpoint()), .identity = identity, .router = *m_router, .flows = m_flows, .tables = m_fleet.tables(), .metrics = m_metrics });
         m_stack = tcpstack::makeLwipStack(identity.service.address, m_loop, *m_path);
         m_server = std::make_unique<FlowServer>(m_loop, FlowServerOptions { .identity = identity, .server = parseEndpoint(m_settings.server_endpoint()), .flows = m_flows, .admission = m_admission });
@@ -171,8 +174,8 @@
         while (true) {
             timer.expires_after(expiryInterval);
             co_await timer.async_wait(asio::use_awaitable);
-            for (const auto& [key, state] : m_flows.expire(m_clock.now())) {
-                if (state == FlowState::HalfOpen)
+            for (const auto& flow : m_flows.expire(m_clock.now())) {
+                if (flow.holdsAdmission())
                     m_admission.releaseFlow();
             }
         }
@@ -187,6 +190,7 @@
     const std::uint64_t m_bootId = SeededRandom::fromEntropy().next();
     asio::io_context m_loop { 1 };
     FlowTable m_flows;
+    MissLog m_misses { missLogFlows };
     ConnectionLimit m_admission;
     fleet::Registration m_registration;
     std::unique_ptr<FlowRouter> m_router;
--- a/src/agent/internal/flowdecision.cpp
+++ b/src/agent/internal/flowdecision.cpp
@@ -1,38 +1,40 @@
 #include "agent/types/flowdecision.h"
 
+#include <array>
+
 namespace clementinesill::agent {
 
+namespace {
+
+// In the order of FlowReason.
+constexpr std::array<std::string_view, 19> reasonNames {
+    "held",
+    "held_despite_address",
+    "repeated_syn",
+    "admitted",
+    "port_reused",
+    "not_held",
+    "not_admitted",
+    "held_by_nobody",
+    "admitted_by_nobody",
+    "table_too_old",
+    "table_unconfirmed",
+    "search_bounded",
+    "wrong_service",
+    "wrong_incarnation",
+    "zone_out",
+    "too_many_hops",
+    "reset_not_held",
+    "stale_syn",
+    "unknown",
+};
+
+} // namespace
+
 std::string_view name(FlowReason reason)
 {
-    switch (reason) {
-    case FlowReason::Held:
-        return "held";
-    case FlowReason::RepeatedSyn:
-        return "repeated_syn";
-    case FlowReason::Admitted:
-        return "admitted";
-    case FlowReason::NotHeld:
-        return "not_held";
-    case FlowReason::NotAdmitted:
-        return "not_admitted";
-    case FlowReason::HeldByNobody:
-        return "held_by_nobody";
-    case FlowReason::AdmittedByNobody:
-        return "admitted_by_nobody";
-    case FlowReason::TableTooOld:
-        return "table_too_old";
-    case FlowReason::WrongService:
-        return "wrong_service";
-    case FlowReason::WrongIncarnation:
-        return "wrong_incarnation";
-    case FlowReason::ZoneOut:
-        return "zone_out";
-    case FlowReason::TooManyHops:
-        return "too_many_hops";
-    case FlowReason::ResetNotHeld:
-        return "reset_not_held";
-    }
-    return "unknown";
+    const auto index = static_cast<std::size_t>(reason);
+    return index < reasonNames.size() ? reasonNames[index] : reasonNames.back();
 }
 
 } // namespace clementinesill::agent
--- a/src/agent/internal/flowrouter.cpp
+++ b/src/agent/internal/flowrouter.cpp
@@ -2,6 +2,9 @@
 
 #include "admission/iadmission.h"
 #include "agent/iflowtable.h"
+#include "agent/imisslog.h"
+#include "agent/internal/sequencewindow.h"
+#include "agent/types/tableview.h"
 #include "dataplane/types/genevemessage.h"
 #include "dataplane/types/packetview.h"
 #include "fleet/fleettable.h"
@@ -14,95 +17,243 @@
 
 namespace {
 
+// Agents that may pass one packet on; as many as the visited list holds.
+constexpr std::uint8_t maximumHops = dataplane::maximumVisited;
+// Servers asked for a UDP flow before it is opened anew; leaves hops for finding a server that takes it.
+constexpr std::size_t maximumDatagramSearch = 16;
+
 bool accepting(const fleet::ServerEntry& server) { return server.accepting(); }
 bool reachable(const fleet::ServerEntry& server) { return !server.zoneOut; }
 
-FlowDecision passOn(const fleet::ServerEntry& server, FlowReason reason)
+FlowDecision drop(FlowReason reason) { return { .action = FlowAction::Drop, .reason = reason }; }
+
+bool visited(const dataplane::GeneveMessage& message, std::uint32_t serverId)
+{
+    return std::find(message.visited.begin(), message.visited.end(), serverId) != message.visited.end();
+}
+
+bool senderIsNewer(const dataplane::GeneveMessage& message, const TableView& view)
 {
-    return { .action = FlowAction::PassOn, .reason = reason, .nextAgent = server.agent, .nextServerId = server.id, .nextIncarnation = server.incarnation };
+    return message.route->tableVersion > view.table.version();
 }
 
 } // namespace
 
-FlowRouter::FlowRouter(const ServerIdentity& identity, IFlowTable& flows, admission::IAdmission& admission, const IClock& clock)
-    : m_identity(identity)
-    , m_flows(flows)
-    , m_admission(admission)
-    , m_clock(clock)
+FlowRouter::FlowRouter(const FlowRouterOptions& options)
+    : m_options(options)
 {
 }
 
-FlowDecision FlowRouter::decide(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const fleet::FleetTable& table)
+FlowDecision FlowRouter::decide(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view)
 {
-    if (!message.route || message.serviceId != m_identity.serviceId || message.route->serviceId != m_identity.serviceId)
-        return { .action = FlowAction::Drop, .reason = FlowReason::WrongService };
-    if (packet.key.service != m_identity.service || packet.key.protocol != m_identity.protocol)
-        return { .action = FlowAction::Drop, .reason = FlowReason::WrongService };
-    if (message.route->serverId != m_identity.serverId || message.route->incarnation != m_identity.incarnation)
-        return { .action = FlowAction::Drop, .reason = FlowReason::WrongIncarnation };
-    const auto* self = table.server(m_identity.serverId);
+    const auto& identity = m_options.identity;
+    if (!message.route || message.serviceId != identity.serviceId || message.route->serviceId != identity.serviceId)
+        return drop(FlowReason::WrongService);
+    if (packet.key.service != identity.service || packet.key.protocol != identity.protocol)
+        return drop(FlowReason::WrongService);
+    const auto* self = view.table.server(identity.serverId);
     if (self && self->zoneOut)
-        return { .action = FlowAction::Drop, .reason = FlowReason::ZoneOut };
-    return packet.opensTcpFlow() ? openFlow(message, packet, table) : continueFlow(message, packet, table);
+        return drop(FlowReason::ZoneOut);
+    if (identity.protocol == fleet::TransportProtocol::Udp)
+        return routeDatagram(message, packet, view);
+    return packet.opensTcpFlow() ? openTcpFlow(message, packet, view) : continueTcpFlow(message, packet, view);
 }
 
-FlowDecision FlowRouter::openFlow(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const fleet::FleetTable& table)
+bool FlowRouter::addressedHere(const dataplane::GeneveMessage& message) const
 {
-    if (auto* entry = m_flows.find(packet.key)) {
-        entry->ingress = message.route->ingress;
+    return message.route->serverId == m_options.identity.serverId && message.route->incarnation == m_options.identity.incarnation;
+}
+
+bool FlowRouter::takesNewFlows(const dataplane::GeneveMessage& message, const TableView& view) const
+{
+    const auto* self = view.table.server(m_options.identity.serverId);
+    return addressedHere(message) && !m_leaving && !(self && self->draining);
+}
+
+FlowDecision FlowRouter::openTcpFlow(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view)
+{
+    auto* entry = m_options.flows.find(packet.key);
+    if (entry && entry->state != FlowState::Closing)
+        return repeatSyn(message, packet, *entry);
+    // RFC 9293, 3.10.7.4: only a SYN behind the ended connection's last sequence number opens a new one.
+    if (entry && nearSequence(packet.sequence, entry->callerNext) && sequenceDistance(entry->callerNext, packet.sequence) < 0)
+        return drop(FlowReason::StaleSyn);
+    return openOrPassOn(message, packet, view);
+}
+
+FlowDecision FlowRouter::repeatSyn(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, FlowEntry& entry)
+{
+    entry.ingress = message.route->ingress;
+    if (entry.state == FlowState::Established || packet.sequence == entry.callerSequence)
         return { .action = FlowAction::Deliver, .reason = FlowReason::RepeatedSyn };
+    // The caller gave up its first attempt; the half-open flow's admission goes over to the new one.
+    auto decision = open(message, packet);
+    decision.reason = FlowReason::PortReused;
+    decision.forgotten.push_back(packet.key);
+    return decision;
+}
+
+FlowDecision FlowRouter::openOrPassOn(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view)
+{
+    if (takesNewFlows(message, view) && m_options.admission.admitFlow().admitted())
+        return openAdmitted(message, packet);
+    if (message.route->hops >= maximumHops)
+        return drop(FlowReason::TooManyHops);
+    auto next = nextServer(message, packet, view, accepting, FlowReason::NotAdmitted);
+    if (next.action == FlowAction::PassOn)
+        return next;
+    if (senderIsNewer(message, view))
+        return drop(FlowReason::TableTooOld);
+    if (!addressedHere(message))
+        return drop(FlowReason::WrongIncarnation);
+    return { .action = FlowAction::Reset, .reason = FlowReason::AdmittedByNobody };
+}
+
+FlowDecision FlowRouter::openAdmitted(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet)
+{
+    const bool reused = m_options.flows.find(packet.key);
+    auto decision = open(message, packet);
+    if (reused) {
+        decision.reason = FlowReason::PortReused;
+        decision.forgotten.push_back(packet.key);
     }
-    if (m_admission.admitFlow().admitted()) {
-        m_flows.insert(packet.key, { .callerSequence = packet.sequence, .ingress = message.route->ingress, .lastPacket = m_clock.now() });
-        return { .action = FlowAction::Open, .reason = FlowReason::Admitted };
+    // A flood of SYNs that nobody completes must not keep admission from others.
+    if (m_options.flows.halfOpenFlows() <= m_options.halfOpenLimit)
+        return decision;
+    if (const auto evicted = m_options.flows.evictOldestHalfOpen()) {
+        m_options.admission.releaseFlow();
+        decision.forgotten.push_back(evicted->key);
     }
-    if (const auto* next = nextServer(message, packet, table, accepting))
-        return passOn(*next, FlowReason::NotAdmitted);
-    return { .action = FlowAction::Reset, .reason = FlowReason::AdmittedByNobody };
+    return decision;
 }
 
-FlowDecision FlowRouter::continueFlow(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const fleet::FleetTable& table)
+FlowDecision FlowRouter::open(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet)
 {
-    auto* entry = m_flows.find(packet.key);
-    if (entry && holds(*entry, packet)) {
-        entry->ingress = message.route->ingress;
-        entry->lastPacket = m_clock.now();
-        return { .action = FlowAction::Deliver, .reason = FlowReason::Held };
+    const bool tcp = packet.key.protocol == fleet::TransportProtocol::Tcp;
+    m_options.flows.insert(packet.key,
+        {
+            .state = tcp ? FlowState::HalfOpen : FlowState::Established,
+            .callerSequence = packet.sequence,
+            .callerNext = packet.sequence + sequenceLength(packet),
+            .ingress = message.route->ingress,
+            .lastPacket = m_options.clock.now(),
+        });
+    return { .action = FlowAction::Open, .reason = FlowReason::Admitted };
+}
+
+FlowDecision FlowRouter::continueTcpFlow(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view)
+{
+    auto* entry = m_options.flows.find(packet.key);
+    if (entry && belongsTo(*entry, packet))
+        return deliver(message, packet, *entry);
+    if (message.route->hops >= maximumHops)
+        return drop(FlowReason::TooManyHops);
+    auto next = nextServer(message, packet, view, reachable, FlowReason::NotHeld);
+    return next.action == FlowAction::PassOn ? next : endSearch(message, packet, view);
+}
+
+FlowDecision FlowRouter::deliver(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, FlowEntry& entry)
+{
+    const auto reason = addressedHere(message) ? FlowReason::Held : FlowReason::HeldDespiteAddress;
+    const bool halfOpen = entry.state == FlowState::HalfOpen;
+    if (halfOpen && (packet.tcpFlags & dataplane::TcpFlags::rst)) {
+        // The stack frees a half-open connection that is reset without telling anybody.
+        m_options.flows.erase(packet.key);
+        m_options.admission.releaseFlow();
+        return { .action = FlowAction::Deliver, .reason = reason };
     }
-    if (const auto* next = nextServer(message, packet, table, reachable))
-        return passOn(*next, FlowReason::NotHeld);
+    if (halfOpen)
+        m_options.flows.setState(packet.key, FlowState::Established);
+    if (entry.state == FlowState::Established)
+        entry.lastPacket = m_options.clock.now();
+    entry.ingress = message.route->ingress;
+    noteCallerPacket(entry, packet);
+    return { .action = FlowAction::Deliver, .reason = reason };
+}
+
+// A reset ends a live flow if its holder was not asked, so each way that may be must be ruled out first.
+FlowDecision FlowRouter::endSearch(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view)
+{
     if (packet.tcpFlags & dataplane::TcpFlags::rst)
-        return { .action = FlowAction::Drop, .reason = FlowReason::ResetNotHeld };
-    if (message.route->tableVersion > table.version())
-        return { .action = FlowAction::Drop, .reason = FlowReason::TableTooOld };
+        return drop(FlowReason::ResetNotHeld);
+    if (senderIsNewer(message, view))
+        return drop(FlowReason::TableTooOld);
+    if (!searchedAll(view))
+        return drop(FlowReason::SearchBounded);
+    // The holder may have joined in a version that none of those asked has: only a confirmation from after the flow was
+    // known to be missed rules that out. The caller's retransmission asks again.
+    const auto firstMiss = m_options.misses.note(packet.key, packet.sequence, m_options.clock.now());
+    if (view.confirmedAt < firstMiss + m_options.confirmationLag)
+        return drop(FlowReason::TableUnconfirmed);
     return { .action = FlowAction::Reset, .reason = FlowReason::HeldByNobody };
 }
 
-bool FlowRouter::holds(FlowEntry& entry, const dataplane::PacketView& packet) const
+FlowDecision FlowRouter::routeDatagram(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view)
 {
-    if (entry.state != FlowState::HalfOpen)
-        return true;
-    // A repeated SYN may have opened the same flow at two agents: the ACK belongs to the one whose SYN-ACK it answers.
-    if (!(packet.tcpFlags & dataplane::TcpFlags::ack) || !entry.synAckSent || packet.acknowledgement != entry.ownSequence + 1)
-        return false;
-    entry.state = FlowState::Established;
-    return true;
+    if (auto* entry = m_options.flows.find(packet.key)) {
+        entry->ingress = message.route->ingress;
+        entry->lastPacket = m_options.clock.now();
+        return { .action = FlowAction::Deliver, .reason = addressedHere(message) ? FlowReason::Held : FlowReason::HeldDespiteAddress };
+    }
+    if (message.route->flags & dataplane::Route::searchEnded)
+        return openOrPassOn(message, packet, view);
+    if (message.route->hops >= maximumHops)
+        return drop(FlowReason::TooManyHops);
+    if (message.visited.size() < maximumDatagramSearch) {
+        auto next = nextServer(message, packet, view, reachable, FlowReason::NotHeld);
+        if (next.action == FlowAction::PassOn)
+            return next;
+    }
+    if (senderIsNewer(message, view))
+        return drop(FlowReason::TableTooOld);
+    // Nobody holds the flow: the first in rank order that takes new flows opens it.
+    dataplane::GeneveMessage unvisited;
+    unvisited.route = message.route;
+    auto first = nextServer(unvisited, packet, view, accepting, FlowReason::NotHeld);
+    const auto* self = view.table.server(m_options.identity.serverId);
+    const auto* other = first.action == FlowAction::PassOn ? view.table.server(first.nextServerId) : nullptr;
+    const auto flowHash = fleet::hash(packet.key, view.table.hashSeed());
+    const bool selfFirst = self && self->accepting() && (!other || fleet::rendezvousScore(flowHash, *self) >= fleet::rendezvousScore(flowHash, *other));
+    auto decision = selfFirst || !other ? openOrPassOn(unvisited, packet, view) : first;
+    decision.searchEnded = true;
+    return decision;
+}
+
+bool FlowRouter::searchedAll(const TableView& view) const
+{
+    const auto* service = view.table.service(m_options.identity.serviceId);
+    return !service || service->servers.size() <= dataplane::maximumVisited;
 }
 
-const fleet::ServerEntry* FlowRouter::nextServer(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const fleet::FleetTable& table, ServerFilter filter) const
+FlowDecision FlowRouter::nextServer(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view, ServerFilter filter, FlowReason reason) const
 {
-    const auto* service = table.service(m_identity.serviceId);
-    if (!service || message.visited.size() >= dataplane::maximumVisited)
-        return nullptr;
+    const auto* service = view.table.service(m_options.identity.serviceId);
+    if (message.visited.size() >= dataplane::maximumVisited)
+        return drop(reason);
+    if (!service)
+        return nextCandidate(message, view, reason);
     std::array<std::uint16_t, dataplane::maximumVisited> ranked {};
-    const auto count = fleet::rankServers(fleet::hash(packet.key, table.hashSeed()), service->servers, ranked);
+    const auto count = fleet::rankServers(fleet::hash(packet.key, view.table.hashSeed()), service->servers, ranked);
     for (const auto index : std::span(ranked).first(count)) {
         const auto& server = service->servers[index];
-        const bool asked = server.id == m_identity.serverId || std::find(message.visited.begin(), message.visited.end(), server.id) != message.visited.end();
-        if (!asked && filter(server))
-            return &server;
+        if (server.id == m_options.identity.serverId || visited(message, server.id) || !filter(server))
+            continue;
+        return { .action = FlowAction::PassOn, .reason = reason, .nextAgent = server.agent, .nextServerId = server.id, .nextIncarnation = server.incarnation };
+    }
+    return filter == reachable ? nextCandidate(message, view, reason) : drop(reason);
+}
+
+// Servers that a sender with a newer table knows and this agent does not.
+FlowDecision FlowRouter::nextCandidate(const dataplane::GeneveMessage& message, const TableView& view, FlowReason reason) const
+{
+    if (!senderIsNewer(message, view))
+        return drop(reason);
+    for (const auto& candidate : message.candidates) {
+        if (candidate.serverId == m_options.identity.serverId || visited(message, candidate.serverId))
+            continue;
+        return { .action = FlowAction::PassOn, .reason = reason, .nextAgent = candidate.agent, .nextServerId = candidate.serverId, .nextIncarnation = candidate.incarnation };
     }
-    return nullptr;
+    return drop(reason);
 }
 
 } // namespace clementinesill::agent
--- a/src/agent/internal/flowrouter.h
+++ b/src/agent/internal/flowrouter.h
@@ -4,6 +4,8 @@
 #include "agent/types/serveridentity.h"
 #include "foundation/iclock.h"
 
+#include <cstddef>
+
 namespace clementinesill::admission {
 class IAdmission;
 }
@@ -15,28 +17,50 @@
 namespace clementinesill::agent {
 
 class IFlowTable;
+class IMissLog;
 struct FlowEntry;
 
+// What the router works with. The references must outlive it.
+struct FlowRouterOptions {
+    ServerIdentity identity;
+    IFlowTable& flows;
+    IMissLog& misses;
+    admission::IAdmission& admission;
+    const IClock& clock;
+    // Half-open flows held at once; one more ends the oldest.
+    std::size_t halfOpenLimit = 256;
+    // How far behind the newest table a controller that confirms one may be.
+    Duration confirmationLag = std::chrono::seconds(2);
+};
+
 // Routes by the flow table; what is not held goes along the rank order until every server was asked.
 class FlowRouter final : public IFlowRouter {
 public:
-    // The references must outlive the router.
-    FlowRouter(const ServerIdentity& identity, IFlowTable& flows, admission::IAdmission& admission, const IClock& clock);
+    explicit FlowRouter(const FlowRouterOptions& options);
 
-    FlowDecision decide(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const fleet::FleetTable& table) override;
+    FlowDecision decide(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view) override;
+    void setLeaving(bool leaving) override { m_leaving = leaving; }
 
 private:
     using ServerFilter = bool (*)(const fleet::ServerEntry&);
 
-    FlowDecision openFlow(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const fleet::FleetTable& table);
-    FlowDecision continueFlow(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const fleet::FleetTable& table);
-    bool holds(FlowEntry& entry, const dataplane::PacketView& packet) const;
-    const fleet::ServerEntry* nextServer(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const fleet::FleetTable& table, ServerFilter filter) const;
+    bool addressedHere(const dataplane::GeneveMessage& message) const;
+    bool takesNewFlows(const dataplane::GeneveMessage& message, const TableView& view) const;
+    FlowDecision openTcpFlow(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view);
+    FlowDecision repeatSyn(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, FlowEntry& entry);
+    FlowDecision openOrPassOn(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view);
+    FlowDecision open(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet);
+    FlowDecision openAdmitted(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet);
+    FlowDecision continueTcpFlow(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view);
+    FlowDecision deliver(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, FlowEntry& entry);
+    FlowDecision endSearch(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view);
+    FlowDecision routeDatagram(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view);
+    bool searchedAll(const TableView& view) const;
+    FlowDecision nextServer(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view, ServerFilter filter, FlowReason reason) const;
+    FlowDecision nextCandidate(const dataplane::GeneveMessage& message, const TableView& view, FlowReason reason) const;
 
-    ServerIdentity m_identity;
-    IFlowTable& m_flows;
-    admission::IAdmission& m_admission;
-    const IClock& m_clock;
+    FlowRouterOptions m_options;
+    bool m_leaving = false;
 };
 
 } // namespace clementinesill::agent
--- a/src/agent/internal/flowserver.cpp
+++ b/src/agent/internal/flowserver.cpp
@@ -53,9 +53,7 @@
 
 void FlowServer::endFlow(const tcpstack::ITcpConnection& caller)
 {
-    auto* entry = m_options.flows.find({ .caller = caller.remote(), .service = m_options.identity.service, .protocol = fleet::TransportProtocol::Tcp });
-    if (entry)
-        entry->state = FlowState::Closing;
+    m_options.flows.setState({ .caller = caller.remote(), .service = m_options.identity.service, .protocol = fleet::TransportProtocol::Tcp }, FlowState::Closing);
     m_options.admission.releaseFlow();
 }
 
--- a/src/agent/internal/flowtable.cpp
+++ b/src/agent/internal/flowtable.cpp
@@ -1,21 +1,14 @@
 #include "agent/internal/flowtable.h"
 
-#include <algorithm>
-
 namespace clementinesill::agent {
 
 namespace {
 
-// lwIP gives up a connection whose SYN-ACK is not acknowledged after 20 s.
-constexpr std::chrono::seconds halfOpenTimeout { 20 };
-// Twice lwIP's maximum segment lifetime, the length of TIME_WAIT.
-constexpr std::chrono::seconds closingTimeout { 120 };
-
 bool expired(const FlowEntry& entry, MonotonicTime now)
 {
-    if (entry.state == FlowState::Established)
+    if (entry.served && entry.state != FlowState::Closing)
         return false;
-    const auto timeout = entry.state == FlowState::HalfOpen ? halfOpenTimeout : closingTimeout;
+    const auto timeout = entry.state == FlowState::Closing ? FlowTable::closingTimeout : FlowTable::halfOpenTimeout;
     return now - entry.lastPacket >= timeout;
 }
 
@@ -29,28 +22,72 @@
 
 FlowEntry& FlowTable::insert(const fleet::FlowKey& key, const FlowEntry& entry)
 {
-    return m_flows.insert_or_assign(key, entry).first->second;
+    erase(key);
+    auto& inserted = m_flows.insert_or_assign(key, entry).first->second;
+    inserted.id = ++m_lastId;
+    ++count(inserted.state);
+    if (inserted.state == FlowState::HalfOpen) {
+        dropStaleOpenings();
+        m_openings.push_back({ .key = key, .id = inserted.id });
+    }
+    return inserted;
+}
+
+void FlowTable::setState(const fleet::FlowKey& key, FlowState state)
+{
+    auto* entry = find(key);
+    if (!entry)
+        return;
+    --count(entry->state);
+    entry->state = state;
+    ++count(state);
 }
 
 void FlowTable::erase(const fleet::FlowKey& key)
 {
-    m_flows.erase(key);
+    const auto found = m_flows.find(key);
+    if (found == m_flows.end())
+        return;
+    --count(found->second.state);
+    m_flows.erase(found);
+}
+
+bool FlowTable::halfOpen(const Opening& opening) const
+{
+    const auto found = m_flows.find(opening.key);
+    return found != m_flows.end() && found->second.id == opening.id && found->second.state == FlowState::HalfOpen;
 }
 
-std::size_t FlowTable::openFlows() const
+void FlowTable::dropStaleOpenings()
 {
-    return static_cast<std::size_t>(std::count_if(m_flows.begin(), m_flows.end(), [](const auto& flow) { return flow.second.state != FlowState::Closing; }));
+    while (!m_openings.empty() && !halfOpen(m_openings.front()))
+        m_openings.pop_front();
+    // One flow that stays half-open must not keep the records of all that were opened behind it.
+    if (m_openings.size() > 2 * (halfOpenFlows() + 64))
+        std::erase_if(m_openings, [this](const auto& opening) { return !halfOpen(opening); });
+}
+
+std::optional<RemovedFlow> FlowTable::evictOldestHalfOpen()
+{
+    dropStaleOpenings();
+    if (m_openings.empty())
+        return std::nullopt;
+    const auto key = m_openings.front().key;
+    RemovedFlow removed { .key = key, .entry = m_flows.at(key) };
+    m_openings.pop_front();
+    erase(key);
+    return removed;
 }
 
-std::vector<std::pair<fleet::FlowKey, FlowState>> FlowTable::expire(MonotonicTime now)
+std::vector<RemovedFlow> FlowTable::expire(MonotonicTime now)
 {
-    std::vector<std::pair<fleet::FlowKey, FlowState>> removed;
+    std::vector<RemovedFlow> removed;
     for (const auto& [key, entry] : m_flows) {
         if (expired(entry, now))
-            removed.emplace_back(key, entry.state);
+            removed.push_back({ .key = key, .entry = entry });
     }
-    for (const auto& [key, state] : removed)
-        m_flows.erase(key);
+    for (const auto& flow : removed)
+        erase(flow.key);
     return removed;
 }
 
--- a/src/agent/internal/packetpath.cpp
+++ b/src/agent/internal/packetpath.cpp
@@ -2,7 +2,11 @@
 
 #include "agent/iflowrouter.h"
 #include "agent/iflowtable.h"
+#include "agent/internal/nexthop.h"
+#include "agent/internal/sequencewindow.h"
 #include "agent/resetpacket.h"
+#include "agent/types/flowdecision.h"
+#include "agent/types/tableview.h"
 #include "dataplane/genevecodec.h"
 #include "dataplane/packetparser.h"
 #include "dataplane/types/genevemessage.h"
@@ -25,7 +29,6 @@
 constexpr std::size_t maximumDatagramBytes = 9216;
 // Datagrams read before other tasks of the loop run again.
 constexpr int datagramsPerTurn = 64;
-constexpr std::uint8_t maximumHops = 30;
 
 // Caller and service as the flow table knows them, from a packet that goes the other way.
 fleet::FlowKey reversed(const fleet::FlowKey& key)
@@ -75,8 +78,10 @@
     const auto table = m_options.tables.table();
     if (message.route && message.route->tableVersion > table->version())
         m_options.tables.noteNewerVersion(message.route->tableVersion);
-    const auto decision = m_options.router.decide(message, packet, *table);
-    ++m_options.metrics.counter("agent_packets_total", { { "reason", std::string(name(decision.reason)) } });
+    const auto decision = m_options.router.decide(message, packet, { .table = *table, .confirmedAt = m_options.tables.confirmedAt() });
+    countDecision(decision);
+    for (const auto& key : decision.forgotten)
+        stack.forget(key.caller);
     carryOut(decision, message, packet, stack);
 }
 
@@ -85,7 +90,7 @@
     switch (decision.action) {
     case FlowAction::Deliver:
     case FlowAction::Open:
-        if (message.route->flags & dataplane::Route::passedOn)
+        if ((message.route->flags & dataplane::Route::passedOn) || decision.reason == FlowReason::HeldDespiteAddress)
             tellBalancer(message, packet);
         stack.input(packet.bytes);
         return;
@@ -100,18 +105,19 @@
     }
 }
 
+void PacketPath::countDecision(const FlowDecision& decision)
+{
+    const auto reason = static_cast<std::size_t>(decision.reason);
+    if (reason >= m_decisions.size())
+        m_decisions.resize(reason + 1);
+    if (!m_decisions[reason])
+        m_decisions[reason] = &m_options.metrics.counter("agent_packets_total", { { "reason", std::string(name(decision.reason)) } });
+    ++*m_decisions[reason];
+}
+
 void PacketPath::passOn(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet)
 {
-    auto& route = *message.route;
-    if (route.hops >= maximumHops) {
-        ++m_options.metrics.counter("agent_packets_total", { { "reason", std::string(name(FlowReason::TooManyHops)) } });
-        return;
-    }
-    message.visited.push_back(m_options.identity.serverId);
-    route.serverId = decision.nextServerId;
-    route.incarnation = decision.nextIncarnation;
-    route.flags |= dataplane::Route::passedOn;
-    ++route.hops;
+    addressNextHop(message, packet, decision, m_options.identity, *m_options.tables.table());
     send(message, packet.bytes, decision.nextAgent);
 }
 
@@ -132,16 +138,14 @@
     auto* entry = m_options.flows.find(reversed(view.key));
     if (!entry)
         return;
-    constexpr auto synAck = dataplane::TcpFlags::syn | dataplane::TcpFlags::ack;
-    if (entry->state == FlowState::HalfOpen && (view.tcpFlags & synAck) == synAck) {
-        entry->ownSequence = view.sequence;
-        entry->synAckSent = true;
-    }
+    noteOwnPacket(*entry, view);
     send({}, packet, entry->ingress);
 }
 
 void PacketPath::send(const dataplane::GeneveMessage& message, std::span<const std::byte> packet, const Endpoint& target)
 {
+    if (m_muted)
+        return;
     std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
     const auto headerBytes = dataplane::encodeGeneveHeader(message, header);
     std::array<iovec, 2> parts { iovec { .iov_base = header.data(), .iov_len = headerBytes }, iovec { .iov_base = const_cast<std::byte*>(packet.data()), .iov_len = packet.size() } };
--- a/src/agent/internal/packetpath.h
+++ b/src/agent/internal/packetpath.h
@@ -49,10 +49,14 @@
 
     void sendPacket(std::span<const std::byte> packet) override;
 
+    // Sends nothing while muted: the availability zone is out.
+    void setMuted(bool muted) { m_muted = muted; }
+
 private:
     void drainSocket(tcpstack::ITcpStack& stack);
     void handle(std::span<const std::byte> datagram, tcpstack::ITcpStack& stack);
     void carryOut(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet, tcpstack::ITcpStack& stack);
+    void countDecision(const FlowDecision& decision);
     void passOn(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet);
     void tellBalancer(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet);
     void send(const dataplane::GeneveMessage& message, std::span<const std::byte> packet, const Endpoint& target);
@@ -61,6 +65,9 @@
     boost::asio::posix::stream_descriptor m_socket;
     std::vector<std::byte> m_buffer;
     Counter& m_sent;
+    // By FlowReason.
+    std::vector<Counter*> m_decisions;
+    bool m_muted = false;
 };
 
 } // namespace clementinesill::agent
--- a/src/agent/internal/resetpacket.cpp
+++ b/src/agent/internal/resetpacket.cpp
@@ -1,5 +1,6 @@
 #include "agent/resetpacket.h"
 
+#include "agent/internal/sequencewindow.h"
 #include "dataplane/types/packetview.h"
 
 #include <arpa/inet.h>
@@ -16,17 +17,6 @@
     return Tins::IPv4Address(htonl(address));
 }
 
-// Sequence numbers that the packet takes up.
-std::uint32_t sequenceLength(const dataplane::PacketView& packet)
-{
-    std::uint32_t length = packet.payloadBytes;
-    if (packet.tcpFlags & dataplane::TcpFlags::syn)
-        ++length;
-    if (packet.tcpFlags & dataplane::TcpFlags::fin)
-        ++length;
-    return length;
-}
-
 } // namespace
 
 std::vector<std::byte> resetPacket(const dataplane::PacketView& packet)
--- a/src/dataplane/types/route.h
+++ b/src/dataplane/types/route.h
@@ -11,6 +11,8 @@
     static constexpr std::uint8_t opensFlow = 1;
     static constexpr std::uint8_t fromCache = 2;
     static constexpr std::uint8_t passedOn = 4;
+    // UDP: every server was asked, so the target may open the flow.
+    static constexpr std::uint8_t searchEnded = 8;
 
     std::uint64_t tableVersion = 0;
     std::uint32_t serviceId = 0;
--- a/src/fleet/internal/tableholder.cpp
+++ b/src/fleet/internal/tableholder.cpp
@@ -27,6 +27,14 @@
     return m_table.load();
 }
 
+void TableHolder::confirm(std::uint64_t version, MonotonicTime at)
+{
+    if (version != m_table.load()->version())
+        return;
+    auto confirmed = m_confirmedAt.load();
+    while (at > confirmed && !m_confirmedAt.compare_exchange_weak(confirmed, at)) { }
+}
+
 void TableHolder::noteNewerVersion(std::uint64_t version)
 {
     auto seen = m_highestSeen.load();
--- a/src/fleet/itablesource.h
+++ b/src/fleet/itablesource.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "foundation/iclock.h"
+
 #include <cstdint>
 #include <memory>
 
@@ -15,6 +17,9 @@
     // Never null; version 0 until a table has arrived.
     virtual std::shared_ptr<const FleetTable> table() const = 0;
 
+    // When a controller with a live lease last said that no version newer than the one held exists; the epoch if never.
+    virtual MonotonicTime confirmedAt() const = 0;
+
     // Tells that a peer's packet carried a newer version than the one held.
     virtual void noteNewerVersion(std::uint64_t version) = 0;
 };
--- a/src/fleet/tableholder.h
+++ b/src/fleet/tableholder.h
@@ -16,14 +16,20 @@
     bool offer(const std::shared_ptr<const FleetTable>& table);
 
     std::shared_ptr<const FleetTable> table() const override;
+    MonotonicTime confirmedAt() const override { return m_confirmedAt.load(); }
     void noteNewerVersion(std::uint64_t version) override;
 
+    // Tells that a controller with a live lease named the version as the newest at the time; ignored if it is not the one
+    // held. Times never go back.
+    void confirm(std::uint64_t version, MonotonicTime at);
+
     // Highest version heard of, from controllers or peers.
     std::uint64_t highestVersionSeen() const { return m_highestSeen.load(); }
 
 private:
     std::atomic<std::shared_ptr<const FleetTable>> m_table;
     std::atomic<std::uint64_t> m_highestSeen { 0 };
+    std::atomic<MonotonicTime> m_confirmedAt { MonotonicTime() };
 };
 
 } // namespace clementinesill::fleet
--- a/src/fleet/tests/tableholder.cpp
+++ b/src/fleet/tests/tableholder.cpp
@@ -12,16 +12,34 @@
 TEST_GROUP(TableHolder) {};
 // clang-format on
 
+namespace {
+
+std::shared_ptr<const FleetTable> tableAt(std::uint64_t version)
+{
+    schema::Table table;
+    table.set_version(version);
+    return std::make_shared<const FleetTable>(table);
+}
+
+} // namespace
+
 TEST(TableHolder, NeverGoesBack)
 {
-    const auto tableAt = [](std::uint64_t version) {
-        schema::Table table;
-        table.set_version(version);
-        return std::make_shared<const FleetTable>(table);
-    };
     TableHolder holder;
     CHECK(holder.offer(tableAt(5)));
     CHECK_FALSE(holder.offer(tableAt(4)));
     CHECK_FALSE(holder.offer(tableAt(5)));
     LONGS_EQUAL(5, holder.table()->version());
 }
+
+TEST(TableHolder, IsConfirmedOnlyForTheVersionItHolds)
+{
+    const MonotonicTime start {};
+    TableHolder holder;
+    holder.offer(tableAt(5));
+    holder.confirm(6, start + std::chrono::seconds(9));
+    CHECK(holder.confirmedAt() == start);
+    holder.confirm(5, start + std::chrono::seconds(4));
+    holder.confirm(5, start + std::chrono::seconds(3));
+    CHECK(holder.confirmedAt() == start + std::chrono::seconds(4));
+}
--- a/src/framework/tcpstack/internal/lwip.h
+++ b/src/framework/tcpstack/internal/lwip.h
@@ -10,6 +10,7 @@
 #include <lwip/ip4.h>
 #include <lwip/netif.h>
 #include <lwip/pbuf.h>
+#include <lwip/priv/tcp_priv.h>
 #include <lwip/tcp.h>
 #include <lwip/tcpip.h>
 
--- a/src/framework/tcpstack/internal/lwipstack.cpp
+++ b/src/framework/tcpstack/internal/lwipstack.cpp
@@ -54,6 +54,15 @@
     return ERR_OK;
 }
 
+tcp_pcb* findConnection(tcp_pcb* list, const Endpoint& remote)
+{
+    for (auto* pcb = list; pcb; pcb = pcb->next) {
+        if (pcb->remote_port == remote.port && lwip_ntohl(ip4_addr_get_u32(ip_2_ip4(&pcb->remote_ip))) == remote.address)
+            return pcb;
+    }
+    return nullptr;
+}
+
 ip_addr_t libraryAddress(std::uint32_t address)
 {
     ip_addr_t result = IPADDR4_INIT(0);
@@ -123,6 +132,16 @@
     tcp_accept(pcb, accepted);
 }
 
+void LwipStack::forget(Endpoint remote)
+{
+    const LwipLock lock;
+    auto* pcb = findConnection(tcp_active_pcbs, remote);
+    if (!pcb)
+        pcb = findConnection(tcp_tw_pcbs, remote);
+    if (pcb)
+        tcp_abandon(pcb, 0);
+}
+
 asio::awaitable<std::shared_ptr<ITcpConnection>> LwipStack::connect(Endpoint remote)
 {
     std::shared_ptr<LwipConnection> connection;
--- a/src/framework/tcpstack/itcpstack.h
+++ b/src/framework/tcpstack/itcpstack.h
@@ -25,6 +25,10 @@
     // Accepts connections on a port of the stack's address. Throws Error (AddressInUse).
     virtual void listen(std::uint16_t port, AcceptHandler handler) = 0;
 
+    // Drops what the stack knows of the connection with the remote endpoint, in whatever state, and sends nothing. The
+    // connection's pending reads and writes throw. Not to be called while the stack calls out.
+    virtual void forget(Endpoint remote) = 0;
+
     // Opens a connection from a local port of the stack's choosing. Throws Error (Network) if it is refused or times out.
     virtual boost::asio::awaitable<std::shared_ptr<ITcpConnection>> connect(Endpoint remote) = 0;
 };
