--- a/src/dataplane/tests/balancerworker.cpp
+++ b/src/dataplane/tests/balancerworker.cpp
@@ -50,6 +50,7 @@
         ++reads;
         return held;
     }
+    MonotonicTime confirmedAt() const override { return {}; }
     void noteNewerVersion(std::uint64_t) override { }
 
     std::shared_ptr<const fleet::FleetTable> held;
--- a/src/requests/internal/keyguard.h
+++ b/src/requests/internal/keyguard.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "foundation/hash.h"
 #include "requests/internal/gatestate.h"
 #include "requests/internal/httprules.h"
 
 #include <memory>
-#include <xxhash.h>
 
 namespace clementinesill::requests {
 
