Rank without logarithms where hash and weight agree; check fairness

Ruled out: fixed-point tables of the logarithm (another rank than the exact one). Change: scores are compared only where the larger hash has the smaller weight. Tests: shares follow the weights within five standard deviations of the binomial distribution; seen failing with the weight ignored, score by product, a weak hash. The agreement test failed with either short cut ignoring the weight and with the filter left out.

--- a/src/fleet/serverrank.h
+++ b/src/fleet/serverrank.h
@@ -36,15 +36,13 @@
     void offer(const ServerEntry& server, Filter&& passes)
     {
         const auto bits = hashBits(m_flowHash, server.id);
-        // A smaller hash with no more weight cannot score higher: the logarithm is saved.
-        if (m_server && bits <= m_bits && server.weight <= m_server->weight)
+        if (m_server && !outranksLeader(bits, server.weight))
             return;
-        const double score = scoreOf(bits, server.weight);
-        if ((m_server && score <= m_score) || !passes(server))
+        if (!passes(server))
             return;
         m_server = &server;
         m_bits = bits;
-        m_score = score;
+        m_weight = server.weight;
     }
 
     // Null if no server has passed.
@@ -56,10 +54,20 @@
     static std::uint64_t hashBits(std::uint64_t flowHash, std::uint32_t serverId) { return hash64(serverId, flowHash) >> 11; }
     static double scoreOf(std::uint64_t bits, std::uint32_t weight);
 
+    // Scores take a logarithm, so they are left out where hash and weight agree on the order.
+    bool outranksLeader(std::uint64_t bits, std::uint32_t weight) const
+    {
+        if (bits <= m_bits && weight <= m_weight)
+            return false;
+        if (bits >= m_bits && weight >= m_weight)
+            return true;
+        return scoreOf(bits, weight) > scoreOf(m_bits, m_weight);
+    }
+
     std::uint64_t m_flowHash;
     const ServerEntry* m_server = nullptr;
     std::uint64_t m_bits = 0;
-    double m_score = 0;
+    std::uint32_t m_weight = 0;
 };
 
 // First server in rank order that passes the filter; null if none does. Does not allocate.
--- a/src/fleet/tests/serverrank.cpp
+++ b/src/fleet/tests/serverrank.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <cmath>
 #include <rapidcheck.h>
 #include <vector>
 
@@ -53,3 +54,30 @@
         RC_ASSERT(firstInRank(flowHash, servers, takesNewFlows) == (expected == ranked.end() ? nullptr : &servers[*expected]));
     }));
 }
+
+// Each server's share of the flows is its weight's share, within five standard deviations of the binomial distribution;
+// callers count their addresses up, as real ones do.
+TEST(ServerRank, SharesFollowTheWeights)
+{
+    CHECK(rc::check("binomial bounds", [](std::uint64_t seed) {
+        constexpr std::uint32_t flows = 10000;
+        constexpr double deviations = 5;
+        std::vector<ServerEntry> servers(*rc::gen::inRange<std::size_t>(2, 24));
+        double weights = 0;
+        for (std::size_t index = 0; index < servers.size(); ++index) {
+            servers[index].id = static_cast<std::uint32_t>(index + 1);
+            servers[index].weight = *rc::gen::inRange<std::uint32_t>(1, 10);
+            weights += servers[index].weight;
+        }
+        std::vector<std::uint32_t> taken(servers.size() + 1);
+        for (std::uint32_t flow = 0; flow < flows; ++flow) {
+            const FlowKey key { .caller = { .address = 0x0a000000 + flow, .port = 4000 }, .service = { .address = 1, .port = 80 } };
+            ++taken[firstInRank(hash(key, seed), servers, isReachable)->id];
+        }
+        for (const auto& server : servers) {
+            const double share = server.weight / weights;
+            const double bound = deviations * std::sqrt(flows * share * (1 - share));
+            RC_ASSERT(std::abs(taken[server.id] - flows * share) <= bound);
+        }
+    }));
+}
