--- a/src/dataplane/internal/balancerworker.h
+++ b/src/dataplane/internal/balancerworker.h
@@ -47,9 +47,10 @@
     // A packet that was read is always sent on.
     void run(const std::atomic<bool>& stop);
 
-private:
-    // Returns how many datagrams were read; waits as long as the receive timeout for the first one.
+    // One turn of run: returns how many datagrams were read; waits as long as the receive timeout for the first one.
     std::size_t serveBatch();
+
+private:
     void drain();
     void handle(std::size_t index, const fleet::FleetTable& table);
     void forward(std::size_t index, const GeneveMessage& message, const fleet::FleetTable& table);
