--- a/src/bench/loadmain.cpp
+++ b/src/bench/loadmain.cpp
@@ -204,14 +204,14 @@
     std::uint64_t m_requests = 0;
 };
 
-// Reads "NAME=ADDRESS:PORT,RATE,FEEDS".
+// Reads "NAME=ADDRESS:PORT/RATE/FEEDS".
 Target parseTarget(const std::string& text)
 {
     const auto equals = text.find('=');
-    const auto first = text.find(',', equals);
-    const auto second = text.find(',', first + 1);
+    const auto first = text.find('/', equals);
+    const auto second = text.find('/', first + 1);
     if (equals == std::string::npos || first == std::string::npos || second == std::string::npos)
-        throw Error(ErrorKind::InvalidArgument, "'" + text + "' is not a target", "write NAME=ADDRESS:PORT,RATE,FEEDS");
+        throw Error(ErrorKind::InvalidArgument, "'" + text + "' is not a target", "write NAME=ADDRESS:PORT/RATE/FEEDS");
     return { .name = text.substr(0, equals), .endpoint = parseEndpoint(text.substr(equals + 1, first - equals - 1)), .rate = std::stod(text.substr(first + 1, second - first - 1)), .feeds = std::stoi(text.substr(second + 1)) };
 }
 
