Add the controllers' replicated log and its storage

Ruled out: one file a record; a log that trusts the name of a peer (a controller that lost its disk would vote for a log it no longer has); replacing a member in one step (old and new majorities need not meet). A group forms once all its controllers say that they hold nothing. Not wired in yet.

--- /dev/null
+++ b/src/control/internal/entrylog.cpp
@@ -0,0 +1,135 @@
+#include "control/entrylog.h"
+
+#include "control/ilogstorage.h"
+#include "foundation/error.h"
+
+#include <algorithm>
+
+namespace clementinesill::control {
+
+void EntryLog::load(schema::SnapshotRecord snapshot, std::vector<schema::LogEntry> entries)
+{
+    m_snapshot = std::move(snapshot);
+    m_baseIndex = m_snapshot.last_index();
+    m_baseTerm = m_snapshot.last_term();
+    m_entries.clear();
+    m_memberships.clear();
+    if (m_snapshot.membership().members_size())
+        m_memberships.emplace_back(m_snapshot.last_index(), m_snapshot.membership());
+    for (auto& entry : entries)
+        push(std::move(entry));
+    m_syncedIndex = lastIndex();
+}
+
+std::optional<std::uint64_t> EntryLog::termAt(std::uint64_t index) const
+{
+    if (index == m_baseIndex)
+        return m_baseTerm;
+    if (index < m_baseIndex || index > lastIndex())
+        return std::nullopt;
+    return at(index).term();
+}
+
+std::vector<schema::LogEntry> EntryLog::from(std::uint64_t index, std::size_t bytes) const
+{
+    std::vector<schema::LogEntry> entries;
+    std::size_t sum = 0;
+    for (; index <= lastIndex() && (entries.empty() || sum < bytes); ++index) {
+        entries.push_back(at(index));
+        sum += entries.back().command().size();
+    }
+    return entries;
+}
+
+std::uint64_t EntryLog::firstOfTerm(std::uint64_t index) const
+{
+    const auto term = termAt(index);
+    while (index > m_baseIndex + 1 && termAt(index - 1) == term)
+        --index;
+    return index;
+}
+
+void EntryLog::push(schema::LogEntry entry)
+{
+    noteMembership(entry);
+    m_entries.push_back(std::move(entry));
+}
+
+void EntryLog::sync()
+{
+    if (m_syncedIndex >= lastIndex())
+        return;
+    const auto pending = from(m_syncedIndex + 1, static_cast<std::size_t>(-1));
+    m_storage.append(pending);
+    m_syncedIndex = lastIndex();
+}
+
+void EntryLog::merge(std::span<const schema::LogEntry> entries)
+{
+    for (const auto& entry : entries) {
+        if (entry.index() <= m_baseIndex || termAt(entry.index()) == entry.term())
+            continue;
+        if (entry.index() <= lastIndex())
+            cutFrom(entry.index());
+        push(entry);
+    }
+    sync();
+}
+
+void EntryLog::cutFrom(std::uint64_t index)
+{
+    m_entries.resize(index - m_baseIndex - 1);
+    std::erase_if(m_memberships, [&](const auto& pair) { return pair.first >= index; });
+    m_syncedIndex = std::min(m_syncedIndex, index - 1);
+}
+
+void EntryLog::noteMembership(const schema::LogEntry& entry)
+{
+    if (!entry.membership())
+        return;
+    schema::Command command;
+    if (!command.ParseFromString(entry.command()))
+        throw Error(ErrorKind::Malformed, "entry " + std::to_string(entry.index()) + " holds no readable membership", "run the same version of the program on all controllers");
+    m_memberships.emplace_back(entry.index(), command.membership());
+}
+
+const schema::Membership* EntryLog::membership() const
+{
+    return m_memberships.empty() ? nullptr : &m_memberships.back().second;
+}
+
+std::uint64_t EntryLog::membershipIndex() const
+{
+    return m_memberships.empty() ? 0 : m_memberships.back().first;
+}
+
+void EntryLog::compact(std::uint64_t index, std::string state, std::size_t keptEntries)
+{
+    schema::SnapshotRecord snapshot;
+    snapshot.set_last_index(index);
+    snapshot.set_last_term(*termAt(index));
+    for (const auto& [at, membership] : m_memberships) {
+        if (at <= index)
+            *snapshot.mutable_membership() = membership;
+    }
+    snapshot.set_state(std::move(state));
+    const auto base = std::max(m_baseIndex, index > keptEntries ? index - keptEntries : 0);
+    m_baseTerm = *termAt(base);
+    m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(base - m_baseIndex));
+    m_baseIndex = base;
+    const std::vector<schema::LogEntry> kept(m_entries.begin(), m_entries.end());
+    m_storage.saveSnapshot(snapshot, kept);
+    m_syncedIndex = lastIndex();
+    m_snapshot = std::move(snapshot);
+}
+
+void EntryLog::install(schema::SnapshotRecord snapshot)
+{
+    std::vector<schema::LogEntry> kept;
+    if (termAt(snapshot.last_index()) == snapshot.last_term())
+        kept = from(snapshot.last_index() + 1, static_cast<std::size_t>(-1));
+    m_storage.saveSnapshot(snapshot, kept);
+    load(std::move(snapshot), std::move(kept));
+}
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/replicatedlog.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "control/entrylog.h"
+#include "control/ireplicatedlog.h"
+#include "control/replication.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace clementinesill {
+class IRandom;
+}
+
+namespace clementinesill::control {
+
+class IStateMachine;
+
+struct ReplicaPeer {
+    std::string name;
+    std::string endpoint;
+};
+
+struct ReplicatedLogOptions {
+    std::string name;
+    std::string endpoint;
+    // All controllers of the group, this one included, in the same order everywhere: the first one forms the group.
+    std::vector<ReplicaPeer> peers;
+    Duration heartbeat = std::chrono::milliseconds(150);
+    // A follower that hears no leader for a random time between these asks for votes, and gives none before the shorter.
+    Duration shortestElectionTimeout = std::chrono::milliseconds(1000);
+    Duration longestElectionTimeout = std::chrono::milliseconds(2000);
+    // Shorter than the shortest election timeout by what the clocks may drift apart in that time.
+    Duration lease = std::chrono::milliseconds(750);
+    // Entries between snapshots.
+    std::uint64_t snapshotEntries = 4096;
+    // Entries kept before a snapshot for followers that lag.
+    std::size_t keptEntries = 512;
+    std::size_t batchBytes = 1 << 20;
+};
+
+// Replicated log by majority: terms, pre-vote, randomized election timeouts, log matching, commit by a majority of the
+// current term, leader lease, snapshots, and members that are known by the identity of their data folder.
+class ReplicatedLog final : public IReplicatedLog {
+public:
+    // Opens the storage and restores the state machine.
+    ReplicatedLog(const ReplicatedLogOptions& options, const IClock& clock, IRandom& random, ILogStorage& storage, IStateMachine& machine);
+
+    void tick() override;
+    std::optional<PeerMessage> nextMessage(const std::string& peer) override;
+    void onAnswer(const std::string& peer, const PeerMessage& message, const PeerAnswer& answer) override;
+    schema::VoteResponse onVote(const schema::VoteRequest& request) override;
+    schema::AppendResponse onAppend(const schema::AppendRequest& request) override;
+    schema::SnapshotResponse onSnapshot(const schema::SnapshotRequest& request) override;
+    schema::DescribeResponse onDescribe(const schema::DescribeRequest& request) override;
+    Proposal propose(const std::string& command) override;
+    void flush() override;
+    ReplicaRole role() const override;
+    std::uint64_t term() const override { return m_vote.term(); }
+    bool leaseLive() const override;
+    bool leaderHeard() const override;
+    const std::string& leaderEndpoint() const override { return m_leaderEndpoint; }
+
+    std::uint64_t commitIndex() const { return m_commitIndex; }
+    const EntryLog& entries() const { return m_log; }
+    std::uint64_t diskIdentity() const { return m_diskIdentity; }
+    const Replication& replication() const { return m_replication; }
+
+private:
+    enum class VoteRefusal {
+        None,
+        OtherDataFolder,
+        LeaderHeard,
+        OldTerm,
+        VoteGiven,
+        LogBehind,
+    };
+
+    // Election.
+    bool isMember() const;
+    const schema::Member* member(const std::string& name) const;
+    void saveVote(std::uint64_t term, const std::string& votedFor);
+    void adoptTerm(std::uint64_t term);
+    void resetElectionTimeout();
+    void startVoting(ReplicaRole role);
+    void countVotes();
+    void becomeLeader();
+    bool upToDate(const schema::VoteRequest& request) const;
+    VoteRefusal refusal(const schema::VoteRequest& request) const;
+    std::optional<PeerMessage> nextVoteRequest(const std::string& peer);
+    void onVoteAnswer(const std::string& peer, const schema::VoteRequest& request, const schema::VoteResponse& response);
+
+    // Forming the group.
+    bool formed() const;
+    bool formsGroup() const;
+    std::optional<PeerMessage> nextDescribeRequest(const std::string& peer);
+    void onDescribeAnswer(const std::string& peer, const schema::DescribeResponse& response);
+    void formGroup();
+
+    // Replication.
+    std::optional<PeerMessage> nextAppend(const std::string& peer);
+    schema::SnapshotRequest snapshotRequest() const;
+    void onAppendAnswer(const std::string& peer, const PeerMessage& message, const schema::AppendResponse& response);
+    void onSnapshotAnswer(const std::string& peer, const PeerMessage& message, const schema::SnapshotResponse& response);
+    void noteAcknowledgement(const std::string& peer, std::uint64_t matchIndex, MonotonicTime sent);
+    void followLeader(std::uint64_t term, const std::string& endpoint, bool leaseLive);
+    void advanceCommit();
+    bool lostMajority() const;
+    void stepDown();
+    void applyCommitted();
+    void push(const std::string& command, bool membership);
+
+    // Membership.
+    void reviewMembership();
+    bool reviewPeer(const ReplicaPeer& peer);
+    bool quorumWithout(const std::string& name) const;
+    void proposeMembership(const schema::Membership& membership);
+
+    ReplicatedLogOptions m_options;
+    const IClock& m_clock;
+    IRandom& m_random;
+    ILogStorage& m_storage;
+    IStateMachine& m_machine;
+    EntryLog m_log;
+    std::uint64_t m_diskIdentity;
+    schema::VoteRecord m_vote;
+    ReplicaRole m_role = ReplicaRole::Follower;
+    std::string m_leaderEndpoint;
+    std::uint64_t m_commitIndex = 0;
+    std::uint64_t m_appliedIndex = 0;
+    MonotonicTime m_electionDeadline;
+    // When a leader was last heard; no vote is given for the shortest election timeout after it.
+    MonotonicTime m_leaderContact;
+    // When a leader was last heard that said its lease was live.
+    MonotonicTime m_leaseContact;
+    std::set<std::string> m_votes;
+    std::set<std::string> m_asked;
+    std::map<std::string, schema::DescribeResponse> m_described;
+    std::map<std::string, MonotonicTime> m_nextDescribe;
+    Replication m_replication;
+    MonotonicTime m_leadingSince;
+    // Index of the first entry of this leader's term.
+    std::uint64_t m_termStart = 0;
+};
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/tests/fakefilesystem.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "control/ifilesystem.h"
+#include "foundation/irandom.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+
+// Folder in memory that loses power at a chosen write and then loses, keeps or tears what was not synced.
+class FakeFileSystem final : public clementinesill::control::IFileSystem {
+public:
+    struct PowerLoss { };
+
+    // The write with this number throws PowerLoss, as do all after it; 0 for never.
+    std::uint64_t lossAt = 0;
+    std::uint64_t writes = 0;
+
+    std::vector<std::string> list() override
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, file] : m_names)
+            names.push_back(name);
+        return names;
+    }
+
+    std::optional<std::string> read(const std::string& name) override
+    {
+        const auto found = m_names.find(name);
+        return found == m_names.end() ? std::nullopt : std::optional(found->second->content);
+    }
+
+    void append(const std::string& name, std::string_view bytes) override
+    {
+        auto& file = m_names[name];
+        if (!file)
+            file = std::make_shared<File>();
+        // The write that loses power may have reached the disk in part.
+        if (lossAt && writes + 1 == lossAt)
+            file->content.append(bytes.substr(0, bytes.size() / 2));
+        countWrite();
+        file->content.append(bytes);
+    }
+
+    void truncate(const std::string& name, std::uint64_t size) override
+    {
+        countWrite();
+        m_names.at(name)->content.resize(size);
+    }
+
+    void sync(const std::string& name) override
+    {
+        countWrite();
+        m_names.at(name)->synced = m_names.at(name)->content;
+    }
+
+    void rename(const std::string& from, const std::string& to) override
+    {
+        countWrite();
+        m_names[to] = m_names.at(from);
+        m_names.erase(from);
+    }
+
+    void remove(const std::string& name) override
+    {
+        countWrite();
+        m_names.erase(name);
+    }
+
+    void syncFolder() override
+    {
+        countWrite();
+        m_syncedNames = m_names;
+    }
+
+    // What is found after the loss: names of the last folder sync or the newest ones, and of each file the synced bytes
+    // and a part, possibly damaged, of what followed.
+    void restart(clementinesill::IRandom& random)
+    {
+        lossAt = 0;
+        if (random.below(2))
+            m_names = m_syncedNames;
+        for (auto& [name, file] : m_names)
+            settle(*file, random);
+        m_syncedNames = m_names;
+    }
+
+    std::string& content(const std::string& name) { return m_names.at(name)->content; }
+    void loseEverything()
+    {
+        m_names.clear();
+        m_syncedNames.clear();
+    }
+
+private:
+    struct File {
+        std::string content;
+        std::string synced;
+    };
+
+    static void settle(File& file, clementinesill::IRandom& random)
+    {
+        std::string settled = file.synced;
+        if (file.content.size() > settled.size() && file.content.starts_with(settled)) {
+            auto tail = file.content.substr(settled.size());
+            tail.resize(random.below(tail.size() + 1));
+            if (!tail.empty() && random.below(2))
+                tail[random.below(tail.size())] ^= 0x55;
+            settled += tail;
+        }
+        file.content = settled;
+        file.synced = settled;
+    }
+
+    void countWrite()
+    {
+        ++writes;
+        if (lossAt && writes >= lossAt)
+            throw PowerLoss();
+    }
+
+    std::map<std::string, std::shared_ptr<File>> m_names;
+    std::map<std::string, std::shared_ptr<File>> m_syncedNames;
+};
--- /dev/null
+++ b/src/control/tests/logstorage.cpp
@@ -0,0 +1,179 @@
+#include "control/logstorage.h"
+
+#include "foundation/error.h"
+#include "foundation/seededrandom.h"
+#include "tests/fakefilesystem.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <rapidcheck.h>
+
+using namespace clementinesill;
+using namespace clementinesill::control;
+
+namespace {
+
+schema::LogEntry entryAt(std::uint64_t index, std::uint64_t term)
+{
+    schema::LogEntry entry;
+    entry.set_index(index);
+    entry.set_term(term);
+    entry.set_command("command " + std::to_string(index) + " of term " + std::to_string(term));
+    return entry;
+}
+
+// What a controller has been told is durable.
+struct Expected {
+    std::uint64_t identity = 0;
+    schema::VoteRecord vote;
+    std::uint64_t snapshotIndex = 0;
+    std::vector<schema::LogEntry> entries;
+};
+
+// Writes one thing after the other until the power is lost; notes each only after the storage has returned.
+void writeHistory(FakeFileSystem& files, IRandom& random, Expected& expected)
+{
+    LogStorage storage(files, random);
+    expected.identity = storage.open().diskIdentity;
+    std::uint64_t last = 0;
+    for (std::uint64_t round = 1; round <= 6; ++round) {
+        schema::VoteRecord vote;
+        vote.set_term(round);
+        vote.set_voted_for("control-" + std::to_string(round));
+        storage.saveVote(vote);
+        expected.vote = vote;
+        std::vector<schema::LogEntry> batch;
+        // The second entry of each round replaces one of the round before.
+        if (round == 3)
+            --last;
+        for (int count = 0; count < 3; ++count)
+            batch.push_back(entryAt(++last, round));
+        storage.append(batch);
+        std::erase_if(expected.entries, [&](const auto& entry) { return entry.index() >= batch.front().index(); });
+        expected.entries.insert(expected.entries.end(), batch.begin(), batch.end());
+        if (round != 4)
+            continue;
+        schema::SnapshotRecord snapshot;
+        snapshot.set_last_index(last - 2);
+        snapshot.set_last_term(round);
+        snapshot.set_state("state");
+        const std::vector<schema::LogEntry> kept(expected.entries.end() - 4, expected.entries.end());
+        storage.saveSnapshot(snapshot, kept);
+        expected.snapshotIndex = last - 2;
+        std::erase_if(expected.entries, [&](const auto& entry) { return entry.index() <= last - 2; });
+    }
+}
+
+bool sameEntry(const schema::LogEntry& left, const schema::LogEntry& right)
+{
+    return left.SerializeAsString() == right.SerializeAsString();
+}
+
+// Whether all that was told durable is there: by entries, or by a snapshot that was about to be told durable.
+bool holds(const StoredLog& stored, const Expected& expected)
+{
+    if (stored.snapshot.last_index() < expected.snapshotIndex || stored.vote.term() < expected.vote.term())
+        return false;
+    return std::all_of(expected.entries.begin(), expected.entries.end(), [&](const auto& wanted) {
+        return wanted.index() <= stored.snapshot.last_index()
+            || std::any_of(stored.entries.begin(), stored.entries.end(), [&](const auto& entry) { return sameEntry(entry, wanted); })
+            // A batch that was being written when the power went may have replaced it.
+            || std::any_of(stored.entries.begin(), stored.entries.end(), [&](const auto& entry) { return entry.index() <= wanted.index() && entry.term() > expected.entries.back().term(); });
+    });
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(LogStorage) {};
+// clang-format on
+
+TEST(LogStorage, NothingDurableIsLostAtAnyWritePoint)
+{
+    SeededRandom random(1);
+    FakeFileSystem whole;
+    Expected all;
+    writeHistory(whole, random, all);
+    const auto writes = whole.writes;
+    CHECK(writes > 50);
+    for (std::uint64_t lossAt = 1; lossAt <= writes; ++lossAt) {
+        for (std::uint64_t seed = 0; seed < 16; ++seed) {
+            SeededRandom chance(lossAt * 1000 + seed);
+            FakeFileSystem files;
+            files.lossAt = lossAt;
+            Expected expected;
+            try {
+                writeHistory(files, chance, expected);
+            } catch (const FakeFileSystem::PowerLoss&) {
+            }
+            files.restart(chance);
+            const auto stored = LogStorage(files, chance).open();
+            CHECK_TEXT(holds(stored, expected), ("lost after write " + std::to_string(lossAt)).c_str());
+            if (expected.identity)
+                CHECK(stored.diskIdentity == expected.identity);
+            // Opened twice, it is the same: what was cut stays cut.
+            const auto again = LogStorage(files, chance).open();
+            LONGS_EQUAL(stored.entries.size(), again.entries.size());
+        }
+    }
+}
+
+TEST(LogStorage, AppendAfterATornTailIsFound)
+{
+    SeededRandom random(1);
+    FakeFileSystem files;
+    {
+        LogStorage storage(files, random);
+        storage.open();
+        storage.append(std::vector { entryAt(1, 1) });
+    }
+    files.content("log").append("torn");
+    {
+        LogStorage storage(files, random);
+        LONGS_EQUAL(1, storage.open().entries.size());
+        storage.append(std::vector { entryAt(2, 1) });
+    }
+    LONGS_EQUAL(2, LogStorage(files, random).open().entries.size());
+}
+
+TEST(LogStorage, DamageBeforeSoundRecordsIsAStorageErrorWithARemedy)
+{
+    SeededRandom random(1);
+    FakeFileSystem files;
+    LogStorage storage(files, random);
+    storage.open();
+    storage.append(std::vector { entryAt(1, 1) });
+    const auto damaged = files.content("log").size() - 3;
+    storage.append(std::vector { entryAt(2, 1) });
+    files.content("log")[damaged] ^= 1;
+    try {
+        LogStorage(files, random).open();
+        FAIL("a damaged record was passed over");
+    } catch (const Error& error) {
+        CHECK(error.kind() == ErrorKind::Storage);
+        CHECK(error.remedy().find("empty the data folder") != std::string::npos);
+    }
+}
+
+TEST(LogStorage, DamagedSnapshotIsAStorageError)
+{
+    SeededRandom random(1);
+    FakeFileSystem files;
+    LogStorage storage(files, random);
+    storage.open();
+    schema::SnapshotRecord snapshot;
+    snapshot.set_last_index(1);
+    snapshot.set_state("state");
+    storage.saveSnapshot(snapshot, {});
+    files.content("snapshot").back() ^= 1;
+    CHECK_THROWS(Error, LogStorage(files, random).open());
+}
+
+TEST(LogStorage, FilesWithoutIdentityAreAStorageError)
+{
+    SeededRandom random(1);
+    FakeFileSystem files;
+    LogStorage(files, random).open();
+    files.remove("identity");
+    CHECK_THROWS(Error, LogStorage(files, random).open());
+}
