Put the controllers behind the replicated log on disk

Cause: the thin controller kept everything in memory and its first peer led for good. Ruled out: io_context::stop at the end (left gRPC callbacks that post to a destroyed context); going on after a failed write.

--- a/src/control/fleetstate.h
+++ b/src/control/fleetstate.h
@@ -47,8 +47,8 @@
     CommandResult transition(const schema::Command& command);
     CommandResult noteMembership(const schema::Command& command);
 
-    void changeServices(const schema::OperatorFile& merged);
-    void changeZones(const schema::OperatorFile& merged);
+    void changeServices(const schema::ConfigChange& config);
+    void changeZones(const schema::ConfigChange& config);
     void setZone(const std::string& name, schema::ZoneState state);
     void noteServers(const std::vector<std::uint32_t>& ids);
     void noteDisplaced(const std::vector<std::uint32_t>& ids, const std::string& by);
@@ -65,7 +65,8 @@
     std::uint32_t m_nextServiceId = 1;
     std::uint64_t m_nextEvent = 1;
     std::vector<schema::ConfigFile> m_files;
-    schema::OperatorFile m_merged;
+    // What the files say about each zone.
+    std::map<std::string, schema::ZoneState> m_fileZones;
     std::map<std::uint32_t, schema::Service> m_services;
     std::map<std::string, schema::Zone> m_zones;
     ServerRegistry m_servers;
--- a/src/control/icommandlog.h
+++ b/src/control/icommandlog.h
@@ -7,7 +7,8 @@
 
 namespace clementinesill::schema {
 class Command;
-}
+class StatusResponse;
+} // namespace clementinesill::schema
 
 namespace clementinesill::control {
 
@@ -28,6 +29,9 @@
 
     // gRPC endpoint of the leader, empty if unknown.
     virtual std::string leaderEndpoint() const = 0;
+
+    // Fills in this controller's part of the log, and what it knows of the others.
+    virtual void describe(schema::StatusResponse& response) const = 0;
 };
 
 } // namespace clementinesill::control
--- a/src/control/internal/configdifference.h
+++ b/src/control/internal/configdifference.h
@@ -2,7 +2,6 @@
 
 #include "log.pb.h"
 
-#include <map>
 #include <span>
 #include <string>
 
@@ -12,10 +11,4 @@
 // configuration" if the files are the same.
 std::string firstDifference(std::span<const schema::ConfigFile> held, const google::protobuf::RepeatedPtrField<schema::ConfigFile>& sent);
 
-// The service that an operators' record describes, without an id.
-schema::Service serviceOf(const schema::ServiceRecord& record);
-
-// State that the files give to each zone they name.
-std::map<std::string, schema::ZoneState> zoneStates(const schema::OperatorFile& merged);
-
 } // namespace clementinesill::control
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -3,6 +3,7 @@
 #include "foundation/error.h"
 #include "foundation/hash.h"
 #include "foundation/log.h"
+#include "operators/foldermerge.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -35,12 +36,11 @@
 
 } // namespace
 
-Controller::Controller(boost::asio::io_context& context, const ControllerOptions& options, FleetState& state, ICommandLog& log, const IConfigReader& reader, const IClock& clock)
+Controller::Controller(boost::asio::io_context& context, const ControllerOptions& options, FleetState& state, ICommandLog& log, const IClock& clock)
     : m_context(context)
     , m_options(options)
     , m_state(state)
     , m_log(log)
-    , m_reader(reader)
     , m_clock(clock)
     , m_leases(clock, { .lease = options.serverLease })
     , m_feed(state, log)
@@ -128,8 +128,12 @@
     command.set_fingerprint(digest(request));
     *command.mutable_config()->mutable_files() = request.files();
     try {
-        const std::vector<schema::ConfigFile> files(request.files().begin(), request.files().end());
-        *command.mutable_config()->mutable_merged() = m_reader.read(files);
+        std::vector<operators::ConfigFile> files;
+        for (const auto& file : request.files())
+            files.push_back({ .name = file.name(), .content = file.content() });
+        const auto merged = operators::mergeOperatorFolder(files);
+        command.mutable_config()->mutable_services()->Assign(merged.services.begin(), merged.services.end());
+        command.mutable_config()->mutable_zones()->Assign(merged.zones.begin(), merged.zones.end());
     } catch (const Error& error) {
         fill(*response.mutable_outcome(), { .code = schema::Outcome::CODE_INVALID, .message = error.what() });
         co_return;
@@ -186,11 +190,7 @@
 {
     response.mutable_outcome()->set_code(schema::Outcome::CODE_OK);
     response.mutable_outcome()->set_leader_hint(m_log.leaderEndpoint());
-    auto& self = *response.mutable_self();
-    self.set_id(m_options.name);
-    self.set_endpoint(m_options.endpoint);
-    self.set_role(m_log.leading() ? "leader" : "follower");
-    self.set_lease_valid(m_log.current());
+    m_log.describe(response);
     response.set_revision(m_state.revision());
     response.set_version(m_state.version());
     for (const auto& [writer, session] : m_watchers) {
--- a/src/control/internal/controller.h
+++ b/src/control/internal/controller.h
@@ -3,7 +3,6 @@
 #include "control.pb.h"
 #include "control/fleetstate.h"
 #include "control/icommandlog.h"
-#include "control/iconfigreader.h"
 #include "control/internal/streamwriter.h"
 #include "control/leasetracker.h"
 #include "control/tablefeed.h"
@@ -16,8 +15,6 @@
 namespace clementinesill::control {
 
 struct ControllerOptions {
-    std::string name;
-    std::string endpoint;
     Duration serverLease = std::chrono::seconds(3);
 };
 
@@ -28,7 +25,7 @@
     using Watcher = StreamWriter<schema::TableUpdate>;
     using EventWriter = StreamWriter<schema::Event>;
 
-    Controller(boost::asio::io_context& context, const ControllerOptions& options, FleetState& state, ICommandLog& log, const IConfigReader& reader, const IClock& clock);
+    Controller(boost::asio::io_context& context, const ControllerOptions& options, FleetState& state, ICommandLog& log, const IClock& clock);
 
     boost::asio::awaitable<void> watch(std::shared_ptr<Watcher> writer, schema::WatchRequest request);
     boost::asio::awaitable<void> registerServer(const schema::ServerAnnouncement& announcement, schema::RegisterResponse& response);
@@ -69,7 +66,6 @@
     ControllerOptions m_options;
     FleetState& m_state;
     ICommandLog& m_log;
-    const IConfigReader& m_reader;
     const IClock& m_clock;
     LeaseTracker m_leases;
     TableFeed m_feed;
--- a/src/control/internal/fleetstate.cpp
+++ b/src/control/internal/fleetstate.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <google/protobuf/util/message_differencer.h>
+#include <utility>
 
 namespace clementinesill::control {
 
@@ -132,10 +133,9 @@
     if (command.base_revision() != m_revision)
         return conflict(command);
     const auto& config = command.config();
-    changeServices(config.merged());
-    changeZones(config.merged());
+    changeServices(config);
+    changeZones(config);
     m_files.assign(config.files().begin(), config.files().end());
-    m_merged = config.merged();
     ++m_revision;
     addEvent("config_accepted", "revision " + std::to_string(m_revision), std::to_string(m_files.size()) + " files applied");
     return {};
@@ -149,11 +149,11 @@
             + " is in force; read the configuration, make the change again and send it under a new request id");
 }
 
-void FleetState::changeServices(const schema::OperatorFile& merged)
+void FleetState::changeServices(const schema::ConfigChange& config)
 {
     std::map<std::string, schema::Service> wanted;
-    for (const auto& record : merged.services())
-        wanted[record.name()] = serviceOf(record);
+    for (const auto& service : config.services())
+        wanted[service.name()] = service;
     for (auto place = m_services.begin(); place != m_services.end();) {
         const auto found = wanted.find(place->second.name());
         if (found == wanted.end()) {
@@ -181,18 +181,25 @@
 }
 
 // A zone's state follows the files only where a file changes it, so that an unrelated change never brings a zone back.
-void FleetState::changeZones(const schema::OperatorFile& merged)
+void FleetState::changeZones(const schema::ConfigChange& config)
 {
-    const auto before = zoneStates(m_merged);
-    const auto after = zoneStates(merged);
-    for (const auto& [name, state] : after) {
+    const auto before = std::exchange(m_fileZones, {});
+    for (const auto& zone : config.zones())
+        m_fileZones[zone.name()] = zone.state();
+    for (const auto& [name, state] : m_fileZones) {
         const auto found = before.find(name);
-        if (found == before.end() ? (!m_zones.contains(name) || state == schema::ZONE_STATE_OUT) : found->second != state)
+        const bool changed = found == before.end() ? state == schema::ZONE_STATE_OUT : found->second != state;
+        if (changed && state != schema::ZONE_STATE_UNSPECIFIED)
             setZone(name, state);
+        else if (!m_zones.contains(name))
+            setZone(name, schema::ZONE_STATE_IN);
     }
     for (const auto& [name, state] : before) {
         const auto found = m_zones.find(name);
-        if (after.contains(name) || found == m_zones.end() || found->second.state() != state)
+        if (m_fileZones.contains(name) || found == m_zones.end())
+            continue;
+        // A zone that operators took out by command stays out.
+        if (found->second.state() == schema::ZONE_STATE_OUT && state != schema::ZONE_STATE_OUT)
             continue;
         m_zones.erase(found);
         m_change.zones.insert(name);
@@ -405,7 +412,11 @@
     snapshot.set_next_server_id(m_servers.nextId());
     snapshot.set_next_event(m_nextEvent);
     snapshot.mutable_files()->Assign(m_files.begin(), m_files.end());
-    *snapshot.mutable_merged() = m_merged;
+    for (const auto& [name, state] : m_fileZones) {
+        auto& zone = *snapshot.add_file_zones();
+        zone.set_name(name);
+        zone.set_state(state);
+    }
     for (const auto& [id, service] : m_services)
         *snapshot.add_services() = service;
     for (const auto& [name, zone] : m_zones)
@@ -427,7 +438,9 @@
     m_nextServiceId = snapshot.next_service_id();
     m_nextEvent = snapshot.next_event();
     m_files.assign(snapshot.files().begin(), snapshot.files().end());
-    m_merged = snapshot.merged();
+    m_fileZones.clear();
+    for (const auto& zone : snapshot.file_zones())
+        m_fileZones[zone.name()] = zone.state();
     m_services.clear();
     for (const auto& service : snapshot.services())
         m_services[service.id()] = service;
--- /dev/null
+++ b/src/control/internal/peerlink.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "control.grpc.pb.h"
+#include "control/internal/wakeup.h"
+#include "control/replicatedlog.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace clementinesill::control {
+
+// Sends what the replicated log has for one peer, one message at a time.
+class PeerLink {
+public:
+    // answered is called after each answer was handed to the log.
+    PeerLink(boost::asio::io_context& context, ReplicatedLog& log, const ReplicaPeer& peer, std::function<void()> answered);
+
+    // Runs until stop().
+    boost::asio::awaitable<void> run();
+
+    // Looks at once whether there is something to send.
+    void wake() { m_wakeup.wake(); }
+
+    void stop();
+
+private:
+    using Answer = std::optional<PeerAnswer>;
+
+    boost::asio::awaitable<Answer> send(const PeerMessage& message);
+
+    template <typename Request, typename Response>
+    using Method = void (schema::Peers::Stub::async_interface::*)(grpc::ClientContext*, const Request*, Response*, std::function<void(grpc::Status)>);
+
+    template <typename Response, typename Request>
+    boost::asio::awaitable<Answer> call(Method<Request, Response> method, const Request& request, std::chrono::milliseconds timeout);
+
+    boost::asio::io_context& m_context;
+    ReplicatedLog& m_log;
+    ReplicaPeer m_peer;
+    std::function<void()> m_answered;
+    std::unique_ptr<schema::Peers::Stub> m_stub;
+    Wakeup m_wakeup;
+    bool m_stopping = false;
+};
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -0,0 +1,190 @@
+#include "control/internal/replicatedcommandlog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace clementinesill::control {
+
+namespace {
+
+using boost::asio::awaitable;
+using boost::asio::co_spawn;
+using boost::asio::detached;
+
+constexpr auto tickInterval = std::chrono::milliseconds(30);
+// How long a command may take to be accepted before its outcome is called unknown.
+constexpr auto submitTimeout = std::chrono::seconds(4);
+
+CommandResult unknownOutcome()
+{
+    return { .code = schema::Outcome::CODE_UNKNOWN, .message = "whether the change is accepted is not known; send it again with the same request id" };
+}
+
+} // namespace
+
+ReplicatedCommandLog::ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const IClock& clock)
+    : m_context(context)
+    , m_options(options)
+    , m_state(state)
+    , m_random(SeededRandom::fromEntropy())
+    , m_files(dataFolder)
+    , m_storage(m_files, m_random)
+    , m_failStop(m_storage)
+    , m_machine(state, [this](std::uint64_t index, std::uint64_t term, const CommandResult& result) { onApplied(index, term, result); })
+    , m_log(options, clock, m_random, m_failStop, m_machine)
+    , m_tick(context)
+{
+    for (const auto& peer : options.peers) {
+        if (peer.name != options.name)
+            m_links.push_back(std::make_unique<PeerLink>(context, m_log, peer, [this] { afterEvent(); }));
+    }
+}
+
+void ReplicatedCommandLog::start(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+    co_spawn(
+        m_context, [this] { return tickLoop(); }, detached);
+    for (const auto& link : m_links)
+        co_spawn(
+            m_context, [&link = *link] { return link.run(); }, detached);
+}
+
+void ReplicatedCommandLog::stop()
+{
+    m_stopping = true;
+    m_tick.wake();
+    for (const auto& link : m_links)
+        link->stop();
+    releaseWaiters();
+}
+
+awaitable<void> ReplicatedCommandLog::tickLoop()
+{
+    while (!m_stopping) {
+        m_log.tick();
+        afterEvent();
+        if (m_log.leaseLive() && !m_state.hashSeed() && !m_founding) {
+            m_founding = true;
+            co_spawn(
+                m_context, [this] { return foundFleet(); }, detached);
+        }
+        co_await m_tick.wait(tickInterval);
+    }
+}
+
+awaitable<void> ReplicatedCommandLog::foundFleet()
+{
+    schema::Command command;
+    command.mutable_found_fleet()->set_hash_seed(m_random.next() | 1);
+    co_await submit(std::move(command));
+    m_founding = false;
+}
+
+awaitable<CommandResult> ReplicatedCommandLog::submit(schema::Command command)
+{
+    const auto proposal = m_stopping ? Proposal { .reason = "this controller is stopping" } : m_log.propose(command.SerializeAsString());
+    if (!proposal.index) {
+        const bool leads = m_log.role() == ReplicaRole::Leader && !m_stopping;
+        CommandResult refused;
+        refused.code = leads ? schema::Outcome::CODE_NO_QUORUM : schema::Outcome::CODE_NOT_LEADER;
+        refused.message = proposal.reason + "; ask the controller in leader_hint, or another";
+        co_return refused;
+    }
+    const auto waiter = std::make_shared<Waiter>(Waiter { .term = proposal.term, .result = unknownOutcome(), .wakeup = Wakeup(m_context) });
+    m_waiters[proposal.index] = waiter;
+    flushSoon();
+    co_await waiter->wakeup.wait(submitTimeout);
+    if (!waiter->done)
+        m_waiters.erase(proposal.index);
+    co_return waiter->result;
+}
+
+// One sync for all commands that arrive in one turn of the loop.
+void ReplicatedCommandLog::flushSoon()
+{
+    if (m_flushing)
+        return;
+    m_flushing = true;
+    boost::asio::post(m_context, [this] {
+        m_flushing = false;
+        m_log.flush();
+        for (const auto& link : m_links)
+            link->wake();
+        afterEvent();
+    });
+}
+
+void ReplicatedCommandLog::onApplied(std::uint64_t index, std::uint64_t term, const CommandResult& result)
+{
+    const auto found = m_waiters.find(index);
+    if (found == m_waiters.end())
+        return;
+    const auto waiter = found->second;
+    m_waiters.erase(found);
+    // An entry of another term has taken the place: what became of the command is not known here.
+    if (waiter->term == term)
+        waiter->result = result;
+    waiter->done = true;
+    waiter->wakeup.wake();
+}
+
+void ReplicatedCommandLog::releaseWaiters()
+{
+    for (auto& [index, waiter] : std::exchange(m_waiters, {})) {
+        waiter->done = true;
+        waiter->wakeup.wake();
+    }
+}
+
+void ReplicatedCommandLog::afterEvent()
+{
+    if (m_log.role() != ReplicaRole::Leader && !m_waiters.empty())
+        releaseWaiters();
+    const bool leading = m_log.leaseLive();
+    const bool current = m_log.leaderHeard();
+    if (m_state.version() == m_seenVersion && leading == m_seenLeading && current == m_seenCurrent)
+        return;
+    m_seenVersion = m_state.version();
+    m_seenLeading = leading;
+    m_seenCurrent = current;
+    // What is committed goes to the followers at once.
+    for (const auto& link : m_links)
+        link->wake();
+    m_changed();
+}
+
+void ReplicatedCommandLog::describe(schema::StatusResponse& response) const
+{
+    auto& self = *response.mutable_self();
+    self.set_id(m_options.name);
+    self.set_endpoint(m_options.endpoint);
+    self.set_role(std::string(name(m_log.role())));
+    self.set_term(m_log.term());
+    self.set_last_index(m_log.entries().lastIndex());
+    self.set_commit_index(m_log.commitIndex());
+    self.set_snapshot_index(m_log.entries().snapshot().last_index());
+    self.set_lease_valid(leading());
+    const auto* membership = m_log.entries().membership();
+    for (const auto& peer : m_options.peers) {
+        auto& status = *response.add_controllers();
+        if (peer.name == m_options.name) {
+            status = self;
+            continue;
+        }
+        status.set_id(peer.name);
+        status.set_endpoint(peer.endpoint);
+        status.set_role(peer.endpoint == m_log.leaderEndpoint() ? "leader" : "learner");
+        for (int index = 0; membership && index < membership->members_size(); ++index) {
+            if (membership->members(index).name() == peer.name && status.role() != "leader")
+                status.set_role("follower");
+        }
+        const auto found = m_log.replication().peers().find(peer.name);
+        if (found != m_log.replication().peers().end())
+            status.set_last_index(found->second.matchIndex);
+    }
+}
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/internal/replicatedcommandlog.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "control/icommandlog.h"
+#include "control/internal/failstopstorage.h"
+#include "control/internal/fleetmachine.h"
+#include "control/internal/peerlink.h"
+#include "control/internal/posixfilesystem.h"
+#include "control/internal/wakeup.h"
+#include "control/logstorage.h"
+#include "control/replicatedlog.h"
+#include "foundation/seededrandom.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace clementinesill::control {
+
+// The replicated log of this controller with its disk and its peers. Used on the control thread only.
+class ReplicatedCommandLog final : public ICommandLog {
+public:
+    // changed is called after the state or the leadership may have changed. Throws Error (Storage).
+    ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const IClock& clock);
+
+    // Starts the coroutines of the log and of each peer.
+    void start(std::function<void()> changed);
+    void stop();
+
+    boost::asio::awaitable<CommandResult> submit(schema::Command command) override;
+    bool leading() const override { return m_log.leaseLive(); }
+    bool current() const override { return m_log.leaderHeard(); }
+    std::string leaderEndpoint() const override { return m_log.leaderEndpoint(); }
+    void describe(schema::StatusResponse& response) const override;
+
+    const ReplicatedLog& log() const { return m_log; }
+
+    // Hands a peer's request to the log.
+    template <typename Call>
+    auto onPeer(Call call)
+    {
+        auto response = call(m_log);
+        afterEvent();
+        return response;
+    }
+
+private:
+    struct Waiter {
+        std::uint64_t term = 0;
+        bool done = false;
+        CommandResult result;
+        Wakeup wakeup;
+    };
+
+    boost::asio::awaitable<void> tickLoop();
+    boost::asio::awaitable<void> foundFleet();
+    void onApplied(std::uint64_t index, std::uint64_t term, const CommandResult& result);
+    void flushSoon();
+    void afterEvent();
+    void releaseWaiters();
+
+    boost::asio::io_context& m_context;
+    ReplicatedLogOptions m_options;
+    FleetState& m_state;
+    SeededRandom m_random;
+    PosixFileSystem m_files;
+    LogStorage m_storage;
+    FailStopStorage m_failStop;
+    FleetMachine m_machine;
+    std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
+    ReplicatedLog m_log;
+    std::vector<std::unique_ptr<PeerLink>> m_links;
+    Wakeup m_tick;
+    std::function<void()> m_changed;
+    bool m_stopping = false;
+    bool m_flushing = false;
+    bool m_founding = false;
+    std::uint64_t m_seenVersion = 0;
+    bool m_seenLeading = false;
+    bool m_seenCurrent = false;
+};
+
+} // namespace clementinesill::control
--- a/src/control/internal/rpcservices.h
+++ b/src/control/internal/rpcservices.h
@@ -2,6 +2,7 @@
 
 #include "control.grpc.pb.h"
 #include "control/internal/controller.h"
+#include "control/internal/replicatedcommandlog.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -61,4 +62,23 @@
     Controller& m_controller;
 };
 
+// Calls of the other controllers, handed to the log on the control thread.
+class PeerService final : public schema::Peers::CallbackService {
+public:
+    PeerService(boost::asio::io_context& context, ReplicatedCommandLog& log)
+        : m_context(context)
+        , m_log(log)
+    {
+    }
+
+    grpc::ServerUnaryReactor* Vote(grpc::CallbackServerContext* call, const schema::VoteRequest* request, schema::VoteResponse* response) override;
+    grpc::ServerUnaryReactor* Append(grpc::CallbackServerContext* call, const schema::AppendRequest* request, schema::AppendResponse* response) override;
+    grpc::ServerUnaryReactor* InstallSnapshot(grpc::CallbackServerContext* call, const schema::SnapshotRequest* request, schema::SnapshotResponse* response) override;
+    grpc::ServerUnaryReactor* Describe(grpc::CallbackServerContext* call, const schema::DescribeRequest* request, schema::DescribeResponse* response) override;
+
+private:
+    boost::asio::io_context& m_context;
+    ReplicatedCommandLog& m_log;
+};
+
 } // namespace clementinesill::control
--- a/src/control/tests/controllermodule.cpp
+++ b/src/control/tests/controllermodule.cpp
@@ -9,16 +9,21 @@
 #include "settings.pb.h"
 
 #include <CppUTest/TestHarness.h>
+#include <array>
 #include <chrono>
+#include <cstdlib>
+#include <filesystem>
 #include <functional>
 #include <grpcpp/grpcpp.h>
+#include <memory>
+#include <optional>
 #include <thread>
 
 using namespace clementinesill;
 
 namespace {
 
-constexpr auto* controllerEndpoint = "127.0.0.1:21100";
+const std::array<std::string, 3> endpoints { "127.0.0.1:21100", "127.0.0.1:21101", "127.0.0.1:21102" };
 // A failing test ends after this long; a passing one does not depend on it.
 constexpr auto testTimeout = std::chrono::seconds(30);
 
@@ -33,33 +38,135 @@
     return false;
 }
 
-schema::DaemonSettings controllerSettings()
-{
-    schema::DaemonSettings settings;
-    settings.set_name("control-1");
-    settings.mutable_controller()->set_endpoint(controllerEndpoint);
-    auto& peer = *settings.mutable_controller()->add_peers();
-    peer.set_name("control-1");
-    peer.set_endpoint(controllerEndpoint);
-    return settings;
-}
+// Folder of the test's own, removed at its end.
+class TemporaryFolder {
+public:
+    TemporaryFolder()
+    {
+        std::string pattern = std::filesystem::temp_directory_path() / "control-XXXXXX";
+        m_path = mkdtemp(pattern.data());
+    }
 
-schema::ChangeResponse applyServices(const std::string& requestId, std::uint64_t baseRevision)
-{
-    const auto stub = schema::Operators::NewStub(grpc::CreateChannel(controllerEndpoint, grpc::InsecureChannelCredentials()));
-    schema::ApplyRequest request;
-    request.set_request_id(requestId);
-    request.set_base_revision(baseRevision);
-    auto& file = *request.add_files();
-    file.set_name("10.json");
-    file.set_content(R"({ "services": [ // the order desk
-        { "name": "desk", "address": "127.0.0.1", "port": 8080, "protocol": "tcp", "mode": "http" } ] })");
-    schema::ChangeResponse response;
-    eventually([&] {
+    ~TemporaryFolder() { std::filesystem::remove_all(m_path); }
+    TemporaryFolder(const TemporaryFolder&) = delete;
+    TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
+
+// Controllers of one group in this process.
+class Controllers {
+public:
+    explicit Controllers(std::size_t count)
+        : m_count(count)
+    {
+        for (std::size_t index = 0; index < count; ++index)
+            start(index);
+    }
+
+    ~Controllers()
+    {
+        for (std::size_t index = 0; index < m_count; ++index)
+            stop(index);
+    }
+
+    Controllers(const Controllers&) = delete;
+    Controllers& operator=(const Controllers&) = delete;
+
+    void start(std::size_t index)
+    {
+        schema::DaemonSettings settings;
+        settings.set_name("control-" + std::to_string(index + 1));
+        auto& controller = *settings.mutable_controller();
+        controller.set_endpoint(endpoints[index]);
+        controller.set_data_folder(m_folder.path() + "/" + settings.name());
+        for (std::size_t other = 0; other < m_count; ++other) {
+            auto& peer = *controller.add_peers();
+            peer.set_name("control-" + std::to_string(other + 1));
+            peer.set_endpoint(endpoints[other]);
+        }
+        m_modules[index] = control::makeControllerModule(settings, m_metrics);
+        m_modules[index]->start();
+    }
+
+    void stop(std::size_t index)
+    {
+        if (m_modules[index])
+            m_modules[index]->stop();
+        m_modules[index].reset();
+    }
+
+    void removeDataFolder(std::size_t index) { std::filesystem::remove_all(m_folder.path() + "/control-" + std::to_string(index + 1)); }
+
+    bool running(std::size_t index) const { return m_modules[index] != nullptr; }
+
+    // Status of a running controller.
+    schema::StatusResponse status(std::size_t index) const
+    {
+        schema::StatusResponse response;
         grpc::ClientContext context;
-        return stub->Apply(&context, request, &response).ok() && response.outcome().code() != schema::Outcome::CODE_NOT_LEADER && response.outcome().code() != schema::Outcome::CODE_NO_QUORUM;
-    });
-    return response;
+        stub(index)->Status(&context, {}, &response);
+        return response;
+    }
+
+    std::optional<std::size_t> leader() const
+    {
+        for (std::size_t index = 0; index < m_count; ++index) {
+            if (running(index) && status(index).self().role() == "leader" && status(index).self().lease_valid())
+                return index;
+        }
+        return std::nullopt;
+    }
+
+    std::unique_ptr<schema::Operators::Stub> stub(std::size_t index) const
+    {
+        return schema::Operators::NewStub(grpc::CreateChannel(endpoints[index], grpc::InsecureChannelCredentials()));
+    }
+
+    // Sends the request to whoever leads until its outcome is known.
+    schema::ChangeResponse apply(const std::string& requestId, std::uint64_t baseRevision, const std::string& service) const
+    {
+        schema::ApplyRequest request;
+        request.set_request_id(requestId);
+        request.set_base_revision(baseRevision);
+        auto& file = *request.add_files();
+        file.set_name("10.json");
+        file.set_content(R"({ "services": [ // the order desk
+        { "name": ")"
+            + service + R"(", "address": "127.0.0.1", "port": 8080, "protocol": "tcp", "mode": "http" } ] })");
+        schema::ChangeResponse response;
+        eventually([&] {
+            const auto index = leader();
+            if (!index)
+                return false;
+            response.Clear();
+            grpc::ClientContext context;
+            const auto code = stub(*index)->Apply(&context, request, &response).ok() ? response.outcome().code() : schema::Outcome::CODE_UNKNOWN;
+            return code == schema::Outcome::CODE_OK || code == schema::Outcome::CODE_CONFLICT || code == schema::Outcome::CODE_INVALID;
+        });
+        return response;
+    }
+
+private:
+    std::size_t m_count;
+    TemporaryFolder m_folder;
+    MetricsRegistry m_metrics;
+    std::array<std::unique_ptr<IRoleModule>, 3> m_modules;
+};
+
+std::unique_ptr<fleet::IFleetClient> startClient(std::size_t controllers)
+{
+    schema::DaemonSettings settings;
+    settings.set_name("agent-1");
+    settings.mutable_agent();
+    for (std::size_t index = 0; index < controllers; ++index)
+        settings.add_controllers(endpoints[index]);
+    auto client = fleet::makeFleetClient(settings);
+    client->start();
+    return client;
 }
 
 } // namespace
@@ -70,16 +177,9 @@
 
 TEST(ControllerModule, DaemonSeesServicesAndServers)
 {
-    MetricsRegistry metrics;
-    const auto module = control::makeControllerModule(controllerSettings(), metrics);
-    module->start();
-    schema::DaemonSettings settings;
-    settings.set_name("agent-1");
-    settings.mutable_agent();
-    settings.add_controllers(controllerEndpoint);
-    const auto client = fleet::makeFleetClient(settings);
-    client->start();
-    const auto accepted = applyServices("one", 0);
+    const Controllers controllers(1);
+    const auto client = startClient(1);
+    const auto accepted = controllers.apply("one", 0, "desk");
     LONGS_EQUAL(schema::Outcome::CODE_OK, accepted.outcome().code());
     CHECK(eventually([&] { return client->tables().table()->service("desk") != nullptr; }));
 
@@ -107,5 +207,43 @@
     client->leave(registration, false);
     CHECK(eventually([&] { return !client->tables().table()->server(registration.serverId); }));
     client->stop();
-    module->stop();
+}
+
+TEST(ControllerModule, AcceptedChangeOutlivesLeaderAndRestart)
+{
+    Controllers controllers(3);
+    const auto client = startClient(3);
+    LONGS_EQUAL(schema::Outcome::CODE_OK, controllers.apply("one", 0, "desk").outcome().code());
+    CHECK(eventually([&] { return client->tables().table()->service("desk") != nullptr; }));
+    const auto first = controllers.leader();
+    CHECK(first.has_value());
+    controllers.stop(*first);
+    const auto accepted = controllers.apply("two", 1, "gallery");
+    LONGS_EQUAL(schema::Outcome::CODE_OK, accepted.outcome().code());
+    // The first answer also from the new leader, and from a group that was restarted.
+    LONGS_EQUAL(1, controllers.apply("one", 0, "desk").revision());
+    CHECK(eventually([&] { return client->tables().table()->version() >= accepted.version(); }));
+    for (std::size_t index = 0; index < 3; ++index)
+        controllers.stop(index);
+    for (std::size_t index = 0; index < 3; ++index)
+        controllers.start(index);
+    LONGS_EQUAL(2, controllers.apply("two", 1, "gallery").revision());
+    LONGS_EQUAL(schema::Outcome::CODE_CONFLICT, controllers.apply("three", 1, "other").outcome().code());
+    CHECK(client->tables().table()->version() >= accepted.version());
+    client->stop();
+}
+
+TEST(ControllerModule, LostDataFolderIsReplacedUnderANewIdentity)
+{
+    Controllers controllers(3);
+    LONGS_EQUAL(schema::Outcome::CODE_OK, controllers.apply("one", 0, "desk").outcome().code());
+    const auto first = *controllers.leader();
+    const auto repaired = (first + 1) % 3;
+    controllers.stop(repaired);
+    controllers.removeDataFolder(repaired);
+    controllers.start(repaired);
+    CHECK(eventually([&] { return controllers.status(repaired).self().role() == "follower"; }));
+    controllers.stop(first);
+    LONGS_EQUAL(1, controllers.apply("one", 0, "desk").revision());
+    LONGS_EQUAL(schema::Outcome::CODE_OK, controllers.apply("two", 1, "gallery").outcome().code());
 }
--- a/src/control/tests/fleetstate.cpp
+++ b/src/control/tests/fleetstate.cpp
@@ -22,7 +22,7 @@
     file.set_name("10-services.json");
     std::uint32_t port = 8000;
     for (const auto* name : services) {
-        auto& service = *command.mutable_config()->mutable_merged()->add_services();
+        auto& service = *command.mutable_config()->add_services();
         service.set_name(name);
         service.set_address("127.0.0.1");
         service.set_port(port++);
@@ -114,7 +114,7 @@
 {
     const auto applyWithZone = [&](const std::string& requestId, std::initializer_list<const char*> services) {
         auto config = configCommand(requestId, state.revision(), services);
-        config.mutable_config()->mutable_merged()->add_zones()->set_name("mandaue");
+        config.mutable_config()->add_zones()->set_name("mandaue");
         return state.apply(config).code;
     };
     state.apply(announcement("desk-1", 11, "127.0.0.1:21001"));
--- a/src/requests/irequestgate.h
+++ b/src/requests/irequestgate.h
@@ -10,7 +10,7 @@
 namespace clementinesill {
 class IByteStream;
 class MetricsRegistry;
-}
+} // namespace clementinesill
 
 namespace clementinesill::admission {
 class IAdmission;
