Follow what a cold server bears by its quickest answers

Ruled out: the median of eight latencies over a baseline of all; a mix of quick and slow requests moves it by itself, and the baseline rose with the load. A faster fall alone: it swings. Change: LatencyBaseline compares the second lowest of 16 latencies, for orders and reads apart; the baseline rises by the factor e in 60 s at most. From 1.5 times the limit holds, from 2 it falls by one, at 4 twice in a row it restarts.

--- a/src/admission/internal/latencybaseline.cpp
+++ b/src/admission/internal/latencybaseline.cpp
@@ -1,55 +1,53 @@
 #include "admission/latencybaseline.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace clementinesill::admission {
 
 namespace {
-// Factor by which one latency moves the baseline towards itself.
-constexpr double baselineMove = 1.02;
-constexpr double smallestSeconds = 1e-6;
+// Factor by which one window lowers the baseline at most.
+constexpr double baselineFall = 1.02;
+// Time in which the baseline grows by the factor e at most, so that a server that stays slow becomes the new normal.
+constexpr std::chrono::duration<double> baselineRiseTime { 60 };
 } // namespace
 
-LatencyBaseline::LatencyBaseline(double step, Duration floor)
-    : m_step(step)
+LatencyBaseline::LatencyBaseline(Duration floor, const IClock& clock)
+    : m_clock(clock)
     , m_floorSeconds(std::chrono::duration<double>(floor).count())
+    , m_lastMove(clock.now())
 {
 }
 
-void LatencyBaseline::record(Duration latency)
+std::optional<double> LatencyBaseline::record(Duration latency)
 {
-    const auto seconds = std::max(smallestSeconds, std::chrono::duration<double>(latency).count());
-    m_recent[m_recorded % recentCount] = seconds;
+    m_window[m_recorded] = std::max(m_floorSeconds, std::chrono::duration<double>(latency).count());
     ++m_recorded;
-    if (m_baselineSeconds == 0) {
+    if (m_recorded < windowSize)
+        return std::nullopt;
+    m_recorded = 0;
+    const auto seconds = secondLowest();
+    if (m_baselineSeconds == 0)
         m_baselineSeconds = seconds;
-        return;
-    }
-    if (seconds > m_baselineSeconds)
-        m_baselineSeconds = std::min(seconds, m_baselineSeconds * baselineMove);
-    else
-        m_baselineSeconds = std::max(seconds, m_baselineSeconds / baselineMove);
+    const auto ratio = seconds / m_baselineSeconds;
+    moveBaseline(seconds);
+    return ratio;
 }
 
-double LatencyBaseline::recentMedian() const
+double LatencyBaseline::secondLowest() const
 {
-    auto sorted = m_recent;
-    const auto middle = sorted.begin() + recentCount / 2;
-    std::nth_element(sorted.begin(), middle, sorted.end());
-    return *middle;
+    auto sorted = m_window;
+    const auto second = sorted.begin() + 1;
+    std::nth_element(sorted.begin(), second, sorted.end());
+    return *second;
 }
 
-bool LatencyBaseline::stepped() const
+void LatencyBaseline::moveBaseline(double seconds)
 {
-    if (m_recorded < recentCount)
-        return false;
-    const auto median = recentMedian();
-    return median > m_floorSeconds && median > m_step * m_baselineSeconds;
-}
-
-void LatencyBaseline::clearRecent()
-{
-    m_recorded = 0;
+    const auto now = m_clock.now();
+    const auto rise = std::exp((now - m_lastMove) / baselineRiseTime);
+    m_lastMove = now;
+    m_baselineSeconds = std::clamp(seconds, m_baselineSeconds / baselineFall, m_baselineSeconds * rise);
 }
 
 } // namespace clementinesill::admission
--- a/src/admission/internal/warmuplimit.cpp
+++ b/src/admission/internal/warmuplimit.cpp
@@ -7,7 +7,7 @@
 WarmupLimit::WarmupLimit(const WarmupOptions& options, const IClock& clock)
     : m_options(options)
     , m_clock(clock)
-    , m_baseline(options.latencyStep, options.latencyFloor)
+    , m_baselines { LatencyBaseline(options.latencyFloor, clock), LatencyBaseline(options.latencyFloor, clock) }
     , m_limit(std::min(options.start, options.maximum))
     , m_growthInterval(options.growthInterval)
     , m_lastChange(clock.now())
@@ -29,7 +29,7 @@
 {
     switch (result.end) {
     case RequestEnd::Answered:
-        onAnswered(std::chrono::duration_cast<Duration>(result.latency), inProgress);
+        onAnswered(result, inProgress);
         return;
     case RequestEnd::Shed:
     case RequestEnd::Failed:
@@ -41,15 +41,13 @@
     }
 }
 
-void WarmupLimit::onAnswered(Duration latency, std::uint32_t inProgress)
+void WarmupLimit::onAnswered(const RequestResult& result, std::uint32_t inProgress)
 {
     m_consecutiveFailures = 0;
-    m_baseline.record(latency);
-    if (m_baseline.stepped()) {
-        restart();
-        return;
-    }
     ++m_successes;
+    auto& baseline = m_baselines[static_cast<std::size_t>(result.kind)];
+    if (const auto ratio = baseline.record(std::chrono::duration_cast<Duration>(result.latency)))
+        onLatency(*ratio);
     if (!mayGrow(inProgress))
         return;
     m_limit = std::min<double>(m_limit + 1, m_options.maximum);
@@ -58,12 +56,27 @@
     m_growthInterval = std::max(m_options.growthInterval, m_growthInterval / 2);
 }
 
+void WarmupLimit::onLatency(double ratio)
+{
+    m_latencyRatio = ratio;
+    m_slowWindows = ratio >= m_options.latencyStep ? m_slowWindows + 1 : 0;
+    if (m_slowWindows >= m_options.stepWindows) {
+        restart();
+        return;
+    }
+    if (ratio < m_options.latencyFall)
+        return;
+    m_limit = std::max(1.0, m_limit - 1);
+    slowGrowth();
+}
+
 bool WarmupLimit::mayGrow(std::uint32_t inProgress) const
 {
     const auto used = inProgress >= limit();
     const auto proven = m_successes >= static_cast<std::uint32_t>(m_limit);
     const auto rested = m_clock.now() - m_lastChange >= m_growthInterval;
-    return used && proven && rested && m_limit < m_options.maximum;
+    const auto quick = m_latencyRatio < m_options.latencyHold;
+    return used && proven && rested && quick && m_limit < m_options.maximum;
 }
 
 void WarmupLimit::onOverload()
@@ -92,7 +105,9 @@
 {
     m_limit = std::min(m_options.start, m_options.maximum);
     m_consecutiveFailures = 0;
-    m_baseline.clearRecent();
+    m_slowWindows = 0;
+    for (auto& baseline : m_baselines)
+        baseline.clearWindow();
     slowGrowth();
 }
 
--- a/src/admission/latencybaseline.h
+++ b/src/admission/latencybaseline.h
@@ -4,32 +4,37 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 
 namespace clementinesill::admission {
 
-// Compares the median of the latest latencies with a slowly moving median of all.
+// Compares the lower latencies of each window with a slowly moving baseline of the same.
+//
+// A cold or overloaded server slows down its quickest requests too, while a mix of quick and slow requests
+// leaves them as they are. So the second lowest latency of a window is compared, not its mean or median.
 class LatencyBaseline {
 public:
-    LatencyBaseline(double step, Duration floor);
+    // Latencies below the floor count as the floor.
+    LatencyBaseline(Duration floor, const IClock& clock);
 
-    void record(Duration latency);
+    // Takes in one latency; returns the ratio of the window to the baseline when it completes a window.
+    std::optional<double> record(Duration latency);
 
-    // Whether the recent median exceeds both the floor and the baseline by the step factor.
-    bool stepped() const;
-
-    // Forgets the recent latencies, not the baseline.
-    void clearRecent();
+    // Starts a new window; the baseline stays.
+    void clearWindow() { m_recorded = 0; }
 
 private:
-    static constexpr std::size_t recentCount = 8;
+    static constexpr std::size_t windowSize = 16;
 
-    double recentMedian() const;
+    double secondLowest() const;
+    void moveBaseline(double seconds);
 
-    double m_step;
+    const IClock& m_clock;
     double m_floorSeconds;
-    std::array<double, recentCount> m_recent {};
+    std::array<double, windowSize> m_window {};
     std::size_t m_recorded = 0;
     double m_baselineSeconds = 0;
+    MonotonicTime m_lastMove;
 };
 
 } // namespace clementinesill::admission
--- a/src/admission/tests/admission.cpp
+++ b/src/admission/tests/admission.cpp
@@ -46,6 +46,26 @@
     }));
 }
 
+TEST(Admission, ConnectionsAreLimitedWithReason)
+{
+    ManualClock clock;
+    Admission admission({ .connectionLimit = 10, .warmupOff = true }, clock);
+    for (int index = 0; index < 10; ++index)
+        CHECK(admission.admitFlow().admitted());
+    CHECK(admission.admitFlow().reason == AdmissionReason::ConnectionLimit);
+    admission.releaseFlow();
+    CHECK(admission.admitFlow().admitted());
+}
+
+TEST(Admission, ColdServerIsGivenItsShareOfTheConnections)
+{
+    ManualClock clock;
+    Admission admission({ .slots = 5, .connectionLimit = 10 }, clock);
+    CHECK(admission.admitFlow().admitted());
+    CHECK(admission.admitFlow().admitted());
+    CHECK(admission.admitFlow().reason == AdmissionReason::WarmupLimit);
+}
+
 TEST(Admission, DrainRefusesWithReason)
 {
     ManualClock clock;
--- a/src/admission/types/admissiondecision.h
+++ b/src/admission/types/admissiondecision.h
@@ -34,11 +34,18 @@
     Cancelled,
 };
 
+// Requests whose latencies are compared with each other only.
+enum class RequestKind {
+    Read,
+    Order,
+};
+
 // What a finished request tells about its backend server.
 struct RequestResult {
     RequestEnd end = RequestEnd::Answered;
     // From handing over the request to the start of the answer.
     std::chrono::nanoseconds latency { 0 };
+    RequestKind kind = RequestKind::Read;
 };
 
 // What a backend server carries now.
--- a/src/admission/types/warmupoptions.h
+++ b/src/admission/types/warmupoptions.h
@@ -19,10 +19,14 @@
     Duration growthIntervalMaximum = std::chrono::seconds(8);
     // Falls caused by requests of one overload count once within this time.
     Duration shrinkInterval = std::chrono::milliseconds(250);
-    // Median of recent latencies over the baseline that shows a cold server.
+    // Latency over the baseline from which on the limit no longer grows, falls by one, and falls to the start.
+    double latencyHold = 1.5;
+    double latencyFall = 2.0;
     double latencyStep = 4.0;
-    // Latencies below it never make a step.
-    Duration latencyFloor = std::chrono::milliseconds(10);
+    // Consecutive windows of latencies that make a step.
+    std::uint32_t stepWindows = 2;
+    // Differences below it are not looked at.
+    Duration latencyFloor = std::chrono::milliseconds(2);
     // Consecutive refused, failed or timed out requests that show a cold server.
     std::uint32_t failuresToRestart = 3;
 };
--- a/src/admission/warmuplimit.h
+++ b/src/admission/warmuplimit.h
@@ -4,6 +4,8 @@
 #include "admission/types/admissiondecision.h"
 #include "admission/types/warmupoptions.h"
 
+#include <array>
+
 namespace clementinesill::admission {
 
 // Limit on concurrent requests that is learnt from the requests' own ends: additive growth, multiplicative fall.
@@ -27,14 +29,19 @@
     void lower(std::uint32_t cap, Duration duration);
 
 private:
-    void onAnswered(Duration latency, std::uint32_t inProgress);
+    void onAnswered(const RequestResult& result, std::uint32_t inProgress);
+    void onLatency(double ratio);
     void onOverload();
     bool mayGrow(std::uint32_t inProgress) const;
     void slowGrowth();
 
     WarmupOptions m_options;
     const IClock& m_clock;
-    LatencyBaseline m_baseline;
+    // One for each kind of request.
+    std::array<LatencyBaseline, 2> m_baselines;
+    // Latency over baseline in the last window.
+    double m_latencyRatio = 1;
+    std::uint32_t m_slowWindows = 0;
     double m_limit;
     Duration m_growthInterval;
     MonotonicTime m_lastChange;
--- a/src/requests/internal/requesttask.cpp
+++ b/src/requests/internal/requesttask.cpp
@@ -521,7 +521,7 @@
 void RequestTask::finishTicket(RequestEnd end)
 {
     if (m_ticket)
-        m_ticket->finish({ .end = end, .latency = m_latency });
+        m_ticket->finish({ .end = end, .latency = m_latency, .kind = m_class == RequestClass::Order ? admission::RequestKind::Order : admission::RequestKind::Read });
 }
 
 void RequestTask::finishTicket(ExchangeEnd end)
