Confirm the table from the controllers' stream

Cause: without a confirmation no agent answers RST, so callers of dead flows waited in silence. Ruled out: taking any peer's packet as a confirmation (peers may be cut off together). Change: each update of the watch, also the one that only names the version in force, confirms the version held. Before: TableHolder::confirm had no caller. After: the build and all tests pass; seen in no process yet.

--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -187,9 +187,11 @@
             return false;
         break;
     default:
+        m_holder.confirm(update.version(), Clock::now());
         return true;
     }
     offerTable();
+    m_holder.confirm(m_table.version(), Clock::now());
     return true;
 }
 
