Remember the rank's answer for large services

Ruled out: an approximate rank for large services (moves more flows at a change of membership, and agents would have to agree on it): see docs/design-dataplane.md. Change: from 32 servers on, the flow cache keeps what the rank found. A wrong entry is corrected as any other, by the agent that holds the flow. Test: RemembersTheRankOfLargeServicesOnly; seen failing with the memory off, on for all sizes, and left out when a flow opens.

--- a/src/dataplane/internal/forwarder.cpp
+++ b/src/dataplane/internal/forwarder.cpp
@@ -8,6 +8,24 @@
 
 namespace clementinesill::dataplane {
 
+namespace {
+
+// From this size on, ranking a service's servers costs more than a look-up in the flow cache.
+constexpr std::size_t rememberedServiceSize = 32;
+
+// Whether the flow cache also remembers places that rank order finds.
+bool remembersRank(const fleet::ServiceEntry& service)
+{
+    return service.servers.size() >= rememberedServiceSize;
+}
+
+CachedServer placeAt(const fleet::ServerEntry& server)
+{
+    return { .serverId = server.id, .incarnation = server.incarnation };
+}
+
+} // namespace
+
 Forwarder::Forwarder(IFlowCache& cache)
     : m_cache(cache)
 {
@@ -41,8 +59,8 @@
     if (!server)
         return drop(flow.service.servers.empty() ? ForwardReason::NoServer : ForwardReason::NoAcceptingServer);
     // Later packets of a TCP flow find the first server in rank order without the cache.
-    if (flow.udp || !firstAccepts)
-        m_cache.store(flow.hash, { .serverId = server->id, .incarnation = server->incarnation });
+    if (flow.udp || !firstAccepts || remembersRank(flow.service))
+        m_cache.store(flow.hash, placeAt(*server));
     else
         m_cache.erase(flow.hash);
     return sendTo(*server, flow.table, ForwardReason::FirstAccepting, Route::opensFlow);
@@ -66,6 +84,8 @@
     const auto* server = fleet::firstInRank(flow.hash, flow.service.servers, fleet::isReachable);
     if (!server)
         return drop(ForwardReason::NoServer);
+    if (remembersRank(flow.service))
+        m_cache.store(flow.hash, placeAt(*server));
     return sendTo(*server, flow.table, ForwardReason::FirstInRank, 0);
 }
 
--- a/src/dataplane/tests/forwarder.cpp
+++ b/src/dataplane/tests/forwarder.cpp
@@ -189,6 +189,22 @@
     LONGS_EQUAL(Route::opensFlow | Route::fromCache, repeated.route.flags);
 }
 
+TEST(Forwarder, RemembersTheRankOfLargeServicesOnly)
+{
+    for (const std::uint32_t servers : { 31U, 32U }) {
+        auto table = makeTable(1, servers);
+        Balancer balancer;
+        const auto first = balancer.next(1, table);
+        CHECK(first.reason == ForwardReason::FirstInRank);
+        CHECK(balancer.next(1, table).reason == (servers < 32 ? ForwardReason::FirstInRank : ForwardReason::CacheHit));
+        const auto opened = balancer.open(2, table).route.serverId;
+        CHECK(balancer.next(2, table).reason == (servers < 32 ? ForwardReason::FirstInRank : ForwardReason::CacheHit));
+        LONGS_EQUAL(opened, balancer.next(2, table).route.serverId);
+        balancer.learn(1, first.route.serverId % servers + 1, 1, table);
+        LONGS_EQUAL(first.route.serverId % servers + 1, balancer.next(1, table).route.serverId);
+    }
+}
+
 // A caller who knows the hash but not the seed cannot aim flows at one server: those that meet under one seed part
 // under another.
 TEST(Forwarder, SeedPartsFlowsThatMet)
