--- /dev/null
+++ b/src/app/tests/daemon.cpp
@@ -0,0 +1,182 @@
+#include "foundation/error.h"
+#include "operators/adminclient.h"
+
+#include <CppUTest/TestHarness.h>
+#include <chrono>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <spawn.h>
+#include <string>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+using namespace clementinesill;
+
+namespace {
+
+constexpr auto adminEndpoint = "127.0.0.1:23301";
+
+// Bounds a wait that only a fault makes long.
+constexpr std::chrono::seconds patience { 60 };
+
+bool waitFor(const std::function<bool()>& condition)
+{
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return true;
+}
+
+std::string readText(const std::string& file)
+{
+    std::ifstream stream(file);
+    return { std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>() };
+}
+
+} // namespace
+
+// Runs the daemon's program as a controller that is a group of its own.
+TEST_GROUP(Daemon)
+{
+    std::string folder;
+    pid_t process = 0;
+
+    void setup() override
+    {
+        char path[] = "/tmp/clementinesill-test-XXXXXX";
+        folder = mkdtemp(path);
+        std::filesystem::create_directory(folder + "/data");
+    }
+
+    void teardown() override
+    {
+        if (process) {
+            kill(process, SIGKILL);
+            wait();
+        }
+        std::filesystem::remove_all(folder);
+    }
+
+    std::string settingsFile() const { return folder + "/daemon.json"; }
+    std::string logText() const { return readText(folder + "/daemon.log"); }
+
+    void writeSettings(const std::string& logLevel, int leaseMs = 3000)
+    {
+        std::ofstream(settingsFile()) << R"({"name":"c1","log":{"level":")" << logLevel << R"(","file":")" << folder << R"(/daemon.log"},
+            "admin":{"endpoint":")" << adminEndpoint
+                                      << R"("},
+            "controller":{"endpoint":"127.0.0.1:23300","dataFolder":")"
+                                      << folder << R"(/data","serverLeaseMs":)" << leaseMs << R"(,
+            "peers":[{"name":"c1","endpoint":"127.0.0.1:23300"}]}})";
+    }
+
+    void start(const std::vector<std::string>& arguments)
+    {
+        std::vector<char*> pointers { const_cast<char*>(DAEMON_PROGRAM) };
+        for (const auto& argument : arguments)
+            pointers.push_back(const_cast<char*>(argument.c_str()));
+        pointers.push_back(nullptr);
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, (folder + "/stderr").c_str(), O_WRONLY | O_CREAT | O_TRUNC, S_IRUSR | S_IWUSR);
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+        LONGS_EQUAL(0, posix_spawn(&process, DAEMON_PROGRAM, &actions, nullptr, pointers.data(), environ));
+        posix_spawn_file_actions_destroy(&actions);
+    }
+
+    // Exit code of the process once it has ended; -1 if a signal ended it.
+    int wait()
+    {
+        int status = 0;
+        waitpid(process, &status, 0);
+        process = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+
+    int run(const std::vector<std::string>& arguments)
+    {
+        start(arguments);
+        return wait();
+    }
+
+    static bool ready()
+    {
+        try {
+            return operators::fetchAdminPage(adminEndpoint, "/ready", patience) == "ready\n";
+        } catch (const Error&) {
+            return false;
+        }
+    }
+
+    bool logHolds(const std::string& event) const { return logText().find("\"event\":\"" + event + "\"") != std::string::npos; }
+
+    void reload(const std::string& event)
+    {
+        kill(process, SIGHUP);
+        CHECK_TRUE_TEXT(waitFor([&] { return logHolds(event); }), event.c_str());
+    }
+};
+
+TEST(Daemon, CheckExitsBeforeAnythingStarts)
+{
+    writeSettings("info");
+    LONGS_EQUAL(0, run({ "--check", settingsFile() }));
+    CHECK(!std::filesystem::exists(folder + "/daemon.log"));
+    writeSettings("loud");
+    LONGS_EQUAL(3, run({ "--check", settingsFile() }));
+    LONGS_EQUAL(3, run({ settingsFile() }));
+    const auto line = readText(folder + "/stderr");
+    STRCMP_EQUAL(("clementinesilld: " + settingsFile() + ":1: key 'log.level': 'loud' is not known; write one of \"debug\", \"info\", \"warn\", \"error\"\n").c_str(), line.c_str());
+    LONGS_EQUAL(2, run({}));
+    LONGS_EQUAL(2, run({ "--colour" }));
+}
+
+TEST(Daemon, ServesUntilItIsToldToEnd)
+{
+    writeSettings("info");
+    start({ settingsFile() });
+    CHECK_TRUE_TEXT(waitFor(ready), readText(folder + "/stderr").c_str());
+    const auto status = operators::fetchAdminPage(adminEndpoint, "/status", patience);
+    CHECK_TRUE_TEXT(status.find("\"daemon\":\"c1\"") != std::string::npos, status.c_str());
+    kill(process, SIGTERM);
+    LONGS_EQUAL(0, wait());
+    CHECK(logHolds("daemon_stopped"));
+}
+
+TEST(Daemon, HangupTakesTheLogLevelAndNamesTheRest)
+{
+    writeSettings("info");
+    start({ settingsFile() });
+    CHECK_TRUE_TEXT(waitFor(ready), readText(folder + "/stderr").c_str());
+    writeSettings("debug");
+    reload("settings_reloaded");
+    CHECK(!logHolds("settings_need_restart"));
+    writeSettings("debug", 4000);
+    reload("settings_need_restart");
+    writeSettings("loud");
+    reload("settings_refused");
+    CHECK(ready());
+    kill(process, SIGTERM);
+    LONGS_EQUAL(0, wait());
+}
+
+TEST(Daemon, SecondOneAtTheSameAddressIsRefused)
+{
+    writeSettings("info");
+    start({ settingsFile() });
+    CHECK_TRUE_TEXT(waitFor(ready), readText(folder + "/stderr").c_str());
+    const auto first = process;
+    LONGS_EQUAL(3, run({ settingsFile() }));
+    CHECK(readText(folder + "/stderr").find("in use") != std::string::npos);
+    process = first;
+}
