--- a/src/requests/tests/fakestream.h
+++ b/src/requests/tests/fakestream.h
@@ -42,6 +42,7 @@
             co_await m_changed.wait();
         if (aborted)
             throw Error(ErrorKind::Network, "reset", "connect again");
+        endRead = m_incoming.empty();
         const auto size = std::min(buffer.size(), m_incoming.size());
         std::memcpy(buffer.data(), m_incoming.data(), size);
         m_incoming.erase(0, size);
@@ -69,6 +70,8 @@
     std::string received;
     bool ended = false;
     bool aborted = false;
+    // The gate has read the caller's end.
+    bool endRead = false;
     // The gate reset the connection, so that the caller knows that something is missing.
     bool resetByGate = false;
 
--- a/src/requests/tests/irequestgate.cpp
+++ b/src/requests/tests/irequestgate.cpp
@@ -99,7 +99,7 @@
         co_await server.release->wait();
         co_await FakeServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
     },
-        { .drainGrace = std::chrono::milliseconds(1) });
+        { .drainGrace = std::chrono::milliseconds(1), .limits = { .headerTimeout = std::chrono::minutes(10) } });
     auto& idle = harness.connect();
     auto& busy = harness.connect();
     busy.send(simpleGet);
--- a/src/requests/tests/requesttask.cpp
+++ b/src/requests/tests/requesttask.cpp
@@ -126,10 +126,18 @@
 
 TEST(RequestTask, HalfACloseDoesNotCutAnOrder)
 {
-    GateHarness harness(answering(std::string(wholeAnswer), 4));
+    GateHarness harness([](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+        co_await FakeServer::readRequest(socket, server, 4);
+        server.release = std::make_unique<Signal>(socket.get_executor());
+        co_await server.release->wait();
+        co_await FakeServer::write(socket, std::string(wholeAnswer));
+    });
     auto& caller = harness.connect();
     caller.send(orderRequest);
+    CHECK(harness.runUntil([&] { return harness.server->release != nullptr; }));
     caller.sendEnd();
+    CHECK(harness.runUntil([&] { return caller.endRead; }));
+    harness.server->release->notify();
     CHECK(harness.runUntilReceived(caller, "whole"));
 }
 
@@ -191,7 +199,8 @@
 
 TEST(RequestTask, RetriesReadsButNotOrders)
 {
-    for (const auto request : { readRequest, orderRequest }) {
+    constexpr std::string_view orderWithoutBody = "POST /order HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n";
+    for (const auto request : { readRequest, orderRequest, orderWithoutBody }) {
         GateHarness harness([](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
             const auto got = co_await FakeServer::readRequest(socket, server);
             if (got && server.connections > 1)
