Let the gate's tests find a free port

Ruled out: port 0, which leaves the range that is meant for these tests. Change: FakeServer takes the first free port from 22100 to 22899. Before: 2 runs at once: failed.

--- a/src/requests/tests/fakeserver.h
+++ b/src/requests/tests/fakeserver.h
@@ -22,10 +22,11 @@
     using Socket = boost::asio::ip::tcp::socket;
     using Script = std::function<boost::asio::awaitable<void>(Socket&, FakeServer&)>;
 
-    FakeServer(boost::asio::io_context& context, std::uint16_t port, Script script)
-        : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), port })
+    FakeServer(boost::asio::io_context& context, Script script)
+        : m_acceptor(context)
         , m_script(std::move(script))
     {
+        listenOnFreePort();
         boost::asio::co_spawn(context, accept(), boost::asio::detached);
     }
 
@@ -76,12 +77,32 @@
         socket.close(ignored);
     }
 
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
     std::vector<std::string> requests;
     int connections = 0;
     // Set by a script that waits for the test.
     std::unique_ptr<Signal> release;
 
 private:
+    static constexpr std::uint16_t firstPort = 22100;
+    static constexpr std::uint16_t lastPort = 22899;
+
+    // Test programs that run at once share the range.
+    void listenOnFreePort()
+    {
+        boost::system::error_code error = boost::asio::error::address_in_use;
+        for (auto port = firstPort; error && port <= lastPort; ++port) {
+            m_acceptor = boost::asio::ip::tcp::acceptor(m_acceptor.get_executor(), boost::asio::ip::tcp::v4());
+            m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+            m_acceptor.bind({ boost::asio::ip::make_address_v4("127.0.0.1"), port }, error);
+            if (!error)
+                m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        }
+        if (error)
+            throw boost::system::system_error(error);
+    }
+
     boost::asio::awaitable<void> accept()
     {
         while (true) {
--- a/src/requests/tests/gateharness.h
+++ b/src/requests/tests/gateharness.h
@@ -17,9 +17,9 @@
     explicit GateHarness(FakeServer::Script script, RequestGateOptions options = {})
         : admission({ .slots = 5, .connectionLimit = 100, .warmupOff = true }, clock)
     {
-        server.emplace(context, port, std::move(script));
+        server.emplace(context, std::move(script));
         options.service = "orders";
-        options.server = { .address = 0x7f000001, .port = port };
+        options.server = { .address = 0x7f000001, .port = server->port() };
         options.limits.lingerTimeout = std::chrono::milliseconds(2);
         gate = makeRequestGate(options, admission, clock, metrics, context);
     }
@@ -66,8 +66,6 @@
         return runUntil([this] { return served == m_callers.size(); });
     }
 
-    static constexpr std::uint16_t port = 22100;
-
     boost::asio::io_context context;
     SystemClock clock;
     MetricsRegistry metrics;
