--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -43,7 +43,7 @@
         """Sends requests side by side; returns the answers by server."""
         servers = collections.Counter()
         with concurrent.futures.ThreadPoolExecutor(PARALLEL_REQUESTS) as pool:
-            for answer in pool.map(lambda number: d.request(service, f"/item/{number}"), range(count)):
+            for answer in pool.map(lambda number: d.patient_request(service, f"/item/{number}"), range(count)):
                 right = answer.status == 200 and self.system.service_of(answer.server) == service.name
                 if right:
                     servers[answer.server] += 1
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -300,8 +300,22 @@
     return Answer(status, text.split(" ")[0] if status == 200 else "", text, seconds, result.stderr.decode(errors="replace").strip(), head)
 
 
+def patient_request(service, path, tries=5):
+    """Sends an idempotent request; one that was refused comes back when the answer says so."""
+    for _ in range(tries):
+        answer = request(service, path)
+        if answer.status != 503:
+            break
+        match = re.search(r"(?im)^retry-after: *(\d+)", answer.headers)
+        time.sleep(int(match.group(1)) if match else 1)
+    return answer
+
+
 class Feed:
-    """A feed held open with curl; reads its numbered lines and notices gaps and the end."""
+    """A feed held open with curl; reads its numbered lines and notices gaps and the end.
+
+    A cold server refuses what it cannot bear yet: curl then comes back when the answer says so.
+    """
 
     def __init__(self, service):
         self.service = service
@@ -310,7 +324,7 @@
         self.gap = False
         self.last_line = time.monotonic()
         self.process = subprocess.Popen(
-            ["curl", "-sS", "-N", f"http://{service.address}:{service.port}/feed"],
+            ["curl", "-sS", "-N", "--fail", "--retry", "10", "--retry-connrefused", f"http://{service.address}:{service.port}/feed"],
             stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
         self.thread = threading.Thread(target=self._read, daemon=True)
         self.thread.start()
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -12,6 +12,7 @@
     Admission(const AdmissionOptions& options, const IClock& clock);
 
     AdmissionDecision admitFlow() override;
+    AdmissionDecision admitUnplacedFlow() override;
     void releaseFlow() override;
     AdmissionDecision admitRequest() override;
     void finishRequest(const RequestResult& result) override;
--- a/src/admission/iadmission.h
+++ b/src/admission/iadmission.h
@@ -11,6 +11,11 @@
 
     // Whether a new flow may be taken. An admitted flow must be released with releaseFlow.
     virtual AdmissionDecision admitFlow() = 0;
+
+    // Whether a flow that every other server refused may be taken, so that its requests are told when to come back. Only
+    // the connection limit and a drain forbid it. An admitted flow must be released with releaseFlow.
+    virtual AdmissionDecision admitUnplacedFlow() = 0;
+
     virtual void releaseFlow() = 0;
 
     // Whether a request (in stream mode: a flow's work) may start now. An admitted one must be ended with finishRequest.
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -61,6 +61,16 @@
     return {};
 }
 
+AdmissionDecision Admission::admitUnplacedFlow()
+{
+    if (m_draining)
+        return refuse(AdmissionReason::Draining);
+    if (m_flows >= m_options.connectionLimit)
+        return refuse(AdmissionReason::ConnectionLimit);
+    ++m_flows;
+    return {};
+}
+
 void Admission::releaseFlow()
 {
     if (m_flows > 0)
--- a/src/agent/internal/flowdecision.cpp
+++ b/src/agent/internal/flowdecision.cpp
@@ -7,11 +7,12 @@
 namespace {
 
 // In the order of FlowReason.
-constexpr std::array<std::string_view, 19> reasonNames {
+constexpr std::array<std::string_view, 20> reasonNames {
     "held",
     "held_despite_address",
     "repeated_syn",
     "admitted",
+    "admitted_to_refuse",
     "port_reused",
     "not_held",
     "not_admitted",
--- a/src/agent/internal/flowrouter.cpp
+++ b/src/agent/internal/flowrouter.cpp
@@ -60,7 +60,7 @@
     return message.route->serverId == m_options.identity.serverId && message.route->incarnation == m_options.identity.incarnation;
 }
 
-bool FlowRouter::takesNewFlows(const dataplane::GeneveMessage& message, const TableView& view) const
+bool FlowRouter::opensNewFlows(const dataplane::GeneveMessage& message, const TableView& view) const
 {
     const auto* self = view.table.server(m_options.identity.serverId);
     return addressedHere(message) && !m_leaving && !(self && self->draining);
@@ -91,7 +91,7 @@
 
 FlowDecision FlowRouter::openOrPassOn(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view)
 {
-    if (takesNewFlows(message, view) && m_options.admission.admitFlow().admitted())
+    if (opensNewFlows(message, view) && m_options.admission.admitFlow().admitted())
         return openAdmitted(message, packet);
     if (message.route->hops >= maximumHops)
         return drop(FlowReason::TooManyHops);
@@ -102,6 +102,11 @@
         return drop(FlowReason::TableTooOld);
     if (!addressedHere(message))
         return drop(FlowReason::WrongIncarnation);
+    if (m_options.answersRefusals && opensNewFlows(message, view) && m_options.admission.admitUnplacedFlow().admitted()) {
+        auto decision = openAdmitted(message, packet);
+        decision.reason = FlowReason::AdmittedToRefuse;
+        return decision;
+    }
     return { .action = FlowAction::Reset, .reason = FlowReason::AdmittedByNobody };
 }
 
--- a/src/agent/internal/flowrouter.h
+++ b/src/agent/internal/flowrouter.h
@@ -29,6 +29,8 @@
     const IClock& clock;
     // Half-open flows held at once; one more ends the oldest.
     std::size_t halfOpenLimit = 256;
+    // Takes a flow that every server refused if the connection limit allows: its protocol can tell when to come back.
+    bool answersRefusals = false;
     // How far behind the newest table a controller that confirms one may be.
     Duration confirmationLag = std::chrono::seconds(2);
 };
@@ -45,7 +47,7 @@
     using ServerFilter = bool (*)(const fleet::ServerEntry&);
 
     bool addressedHere(const dataplane::GeneveMessage& message) const;
-    bool takesNewFlows(const dataplane::GeneveMessage& message, const TableView& view) const;
+    bool opensNewFlows(const dataplane::GeneveMessage& message, const TableView& view) const;
     FlowDecision openTcpFlow(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view);
     FlowDecision repeatSyn(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, FlowEntry& entry);
     FlowDecision openOrPassOn(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet, const TableView& view);
--- a/src/agent/internal/flowserver.h
+++ b/src/agent/internal/flowserver.h
@@ -1,13 +1,17 @@
 #pragma once
 
-#include "agent/types/serveridentity.h"
+#include "agent/types/flowserveroptions.h"
+#include "fleet/types/flowkey.h"
+#include "foundation/iclock.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
+#include <unordered_map>
 
-namespace clementinesill::admission {
-class IAdmission;
+namespace clementinesill::net {
+class SocketStream;
 }
 
 namespace clementinesill::tcpstack {
@@ -16,31 +20,41 @@
 
 namespace clementinesill::agent {
 
-class IFlowTable;
-
-// What the flow server works with. The references must outlive it.
-struct FlowServerOptions {
-    ServerIdentity identity;
-    // The backend server on the same VM.
-    Endpoint server;
-    IFlowTable& flows;
-    admission::IAdmission& admission;
-};
-
-// Serves each accepted flow in a task of its own: connects to the backend server and relays.
+// Serves each accepted flow in a task of its own: through the request gate, or by relaying to the backend server.
 class FlowServer {
 public:
     FlowServer(boost::asio::io_context& loop, const FlowServerOptions& options);
+    ~FlowServer();
 
+    // Takes a connection whose flow the flow table holds; resets any other.
     void accept(std::shared_ptr<tcpstack::ITcpConnection> caller);
 
+    // Resets flows with no packet from the caller for as long as the timeout; returns how many.
+    std::size_t abortIdle(Duration timeout);
+
+    // Resets all flows; returns how many.
+    std::size_t abortAll();
+
+    // Called each time the backend server refuses a connection.
+    void onServerRefused(std::function<void()> handler) { m_serverRefused = std::move(handler); }
+
+    std::size_t servedFlows() const { return m_served.size(); }
+
 private:
-    boost::asio::awaitable<void> serve(std::shared_ptr<tcpstack::ITcpConnection> caller);
-    boost::asio::awaitable<void> relayToServer(tcpstack::ITcpConnection& caller);
-    void endFlow(const tcpstack::ITcpConnection& caller);
+    struct ServedFlow;
+
+    boost::asio::awaitable<void> serve(std::shared_ptr<ServedFlow> flow);
+    boost::asio::awaitable<void> relayToServer(ServedFlow& flow);
+    boost::asio::awaitable<void> connectToServer(ServedFlow& flow);
+    void abort(ServedFlow& flow);
+    void endFlow(const ServedFlow& flow);
+    fleet::FlowKey keyOf(const tcpstack::ITcpConnection& caller) const;
 
     boost::asio::io_context& m_loop;
     FlowServerOptions m_options;
+    std::function<void()> m_serverRefused = [] {};
+    // By the flow's id.
+    std::unordered_map<std::uint64_t, std::shared_ptr<ServedFlow>> m_served;
 };
 
 } // namespace clementinesill::agent
--- /dev/null
+++ b/src/agent/internal/serverregistration.cpp
@@ -0,0 +1,108 @@
+#include "agent/internal/serverregistration.h"
+
+#include "foundation/error.h"
+#include "foundation/log.h"
+
+namespace clementinesill::agent {
+
+namespace {
+
+// A lease lasts 3 s; three renewals may be lost.
+constexpr std::chrono::milliseconds renewInterval { 700 };
+
+} // namespace
+
+ServerRegistration::ServerRegistration(fleet::IFleetClient& client, const schema::ServerAnnouncement& announcement)
+    : m_client(client)
+    , m_announcement(announcement)
+{
+}
+
+ServerRegistration::~ServerRegistration()
+{
+    stop();
+}
+
+fleet::Registration ServerRegistration::announce()
+{
+    m_registration = m_client.registerServer(m_announcement);
+    return m_registration;
+}
+
+void ServerRegistration::start()
+{
+    m_thread = std::thread([this] { renewUntilStopped(); });
+}
+
+void ServerRegistration::report(const ServerReport& report)
+{
+    const std::lock_guard lock(m_mutex);
+    m_report = report;
+}
+
+void ServerRegistration::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void ServerRegistration::leave(bool draining)
+{
+    try {
+        m_client.leave(m_registration, draining);
+    } catch (const Error& error) {
+        log(LogLevel::Warn, "leave_failed", { { "reason", error.what() } });
+    }
+}
+
+void ServerRegistration::renewUntilStopped()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_wake.wait_for(lock, renewInterval, [this] { return m_stopping; })) {
+        lock.unlock();
+        renew();
+        lock.lock();
+    }
+}
+
+void ServerRegistration::renew()
+{
+    schema::RenewRequest request;
+    request.set_server_id(m_registration.serverId);
+    request.set_incarnation(m_registration.incarnation);
+    {
+        const std::lock_guard lock(m_mutex);
+        request.set_in_progress(m_report.inProgress);
+        request.set_flows(m_report.flows);
+        request.set_healthy(m_report.healthy);
+        request.set_warmup_limit(m_report.warmupLimit);
+    }
+    try {
+        if (!m_replaced && !m_client.renew(request))
+            announceAgain();
+    } catch (const Error& error) {
+        log(LogLevel::Warn, "renew_failed", { { "reason", error.what() } });
+    }
+}
+
+// The lease had ended. The same start gets its id and incarnation back, unless a newer one has taken the name over.
+void ServerRegistration::announceAgain()
+{
+    try {
+        const auto again = m_client.registerServer(m_announcement);
+        m_replaced = again.serverId != m_registration.serverId || again.incarnation != m_registration.incarnation;
+    } catch (const Error& error) {
+        if (error.kind() != ErrorKind::InvalidArgument)
+            throw;
+        m_replaced = true;
+    }
+    if (m_replaced)
+        log(LogLevel::Error, "server_replaced", { { "server", m_announcement.name() }, { "reason", "another process announced the name" } });
+}
+
+} // namespace clementinesill::agent
--- a/src/agent/tests/fakeadmission.h
+++ b/src/agent/tests/fakeadmission.h
@@ -2,6 +2,8 @@
 
 #include "admission/iadmission.h"
 
+#include <utility>
+
 namespace clementinesill::agent {
 
 // Admission with a fixed limit of flows that counts what it is told.
@@ -16,11 +18,18 @@
     {
         if (m_draining)
             return { .reason = admission::AdmissionReason::Draining };
-        if (flows >= static_cast<int>(m_limit))
+        if (cold || flows >= static_cast<int>(m_limit))
             return { .reason = admission::AdmissionReason::ConnectionLimit };
         ++flows;
         return {};
     }
+    admission::AdmissionDecision admitUnplacedFlow() override
+    {
+        const bool wasCold = std::exchange(cold, false);
+        const auto decision = admitFlow();
+        cold = wasCold;
+        return decision;
+    }
     void releaseFlow() override { --flows; }
     admission::AdmissionDecision admitRequest() override { return {}; }
     void finishRequest(const admission::RequestResult&) override { }
@@ -28,6 +37,8 @@
     void restartWarmup() override { ++warmupRestarts; }
     admission::AdmissionLoad load() const override { return { .flows = static_cast<std::uint32_t>(flows), .limit = m_limit }; }
 
+    // Refuses flows that another server could take.
+    bool cold = false;
     int flows = 0;
     int warmupRestarts = 0;
 
--- a/src/agent/tests/flowrouteropening.cpp
+++ b/src/agent/tests/flowrouteropening.cpp
@@ -173,3 +173,18 @@
     agent().table = before;
     CHECK(send(synPacket(key, callerSequence)).reason == FlowReason::TableTooOld);
 }
+
+TEST(FlowRouterOpening, AFlowThatAllServersAreTooColdForIsTakenToBeAnswered)
+{
+    fleet.answersRefusals = true;
+    fleet.join(1);
+    fleet.join(2);
+    fleet.spread();
+    agent().admission.cold = true;
+    fleet.agent(2).admission.cold = true;
+    auto sent = fleet.addressed(*fleet.newest(), synPacket(key, callerSequence), *fleet.newest()->server(1));
+    const auto decision = fleet.follow(sent);
+    CHECK(decision.action == FlowAction::Open);
+    CHECK(decision.reason == FlowReason::AdmittedToRefuse);
+    LONGS_EQUAL(1, agent().admission.flows + fleet.agent(2).admission.flows);
+}
--- a/src/agent/tests/routedfleet.h
+++ b/src/agent/tests/routedfleet.h
@@ -37,11 +37,11 @@
 
 // One agent: the decision classes with a table of its own.
 struct RoutedAgent {
-    RoutedAgent(const ServerIdentity& identity, const IClock& clock, std::shared_ptr<const fleet::FleetTable> newest, std::uint32_t connectionLimit, std::size_t halfOpenLimit)
+    RoutedAgent(const ServerIdentity& identity, const IClock& clock, std::shared_ptr<const fleet::FleetTable> newest, std::uint32_t connectionLimit, std::size_t halfOpenLimit, bool answersRefusals)
         : identity(identity)
         , table(std::move(newest))
         , admission(connectionLimit)
-        , router({ .identity = identity, .flows = flows, .misses = misses, .admission = admission, .clock = clock, .halfOpenLimit = halfOpenLimit })
+        , router({ .identity = identity, .flows = flows, .misses = misses, .admission = admission, .clock = clock, .halfOpenLimit = halfOpenLimit, .answersRefusals = answersRefusals })
     {
     }
 
@@ -96,7 +96,7 @@
         publish();
         const ServerIdentity identity { .serviceId = serviceId, .serverId = serverId, .incarnation = server.incarnation(), .service = service, .protocol = protocol };
         auto& agent = agents[agentEndpoint(serverId).address];
-        agent = std::make_unique<RoutedAgent>(identity, clock, newest(), connectionLimit, halfOpenLimit);
+        agent = std::make_unique<RoutedAgent>(identity, clock, newest(), connectionLimit, halfOpenLimit, answersRefusals);
         agent->confirmedAt = clock.now();
         return *agent;
     }
@@ -224,6 +224,7 @@
     fleet::TransportProtocol protocol = fleet::TransportProtocol::Tcp;
     std::uint32_t connectionLimit = 1000;
     std::size_t halfOpenLimit = 256;
+    bool answersRefusals = false;
     schema::Table schema;
     std::vector<std::shared_ptr<const fleet::FleetTable>> versions;
     // By the address of the agent's endpoint.
--- a/src/agent/types/flowdecision.h
+++ b/src/agent/types/flowdecision.h
@@ -26,6 +26,8 @@
     HeldDespiteAddress,
     RepeatedSyn,
     Admitted,
+    // Every server refused the flow; it is taken so that its requests are told when to come back.
+    AdmittedToRefuse,
     // The caller opens the flow again from the same port.
     PortReused,
     // Not held here, and another server was not asked yet.
--- a/src/framework/tcpstack/internal/lwipstack.cpp
+++ b/src/framework/tcpstack/internal/lwipstack.cpp
@@ -142,6 +142,15 @@
         tcp_abandon(pcb, 0);
 }
 
+std::size_t LwipStack::undelivered() const
+{
+    const LwipLock lock;
+    std::size_t count = 0;
+    for (const auto* pcb = tcp_active_pcbs; pcb; pcb = pcb->next)
+        count += pcb->state != SYN_RCVD && (pcb->unsent || pcb->unacked);
+    return count;
+}
+
 asio::awaitable<std::shared_ptr<ITcpConnection>> LwipStack::connect(Endpoint remote)
 {
     std::shared_ptr<LwipConnection> connection;
--- a/src/framework/tcpstack/internal/lwipstack.h
+++ b/src/framework/tcpstack/internal/lwipstack.h
@@ -19,6 +19,7 @@
     void input(std::span<const std::byte> packet) override;
     void listen(std::uint16_t port, AcceptHandler handler) override;
     void forget(Endpoint remote) override;
+    std::size_t undelivered() const override;
     boost::asio::awaitable<std::shared_ptr<ITcpConnection>> connect(Endpoint remote) override;
 
     // Called by lwIP with the core lock held, on the loop or on its timer thread.
--- a/src/framework/tcpstack/itcpstack.h
+++ b/src/framework/tcpstack/itcpstack.h
@@ -29,6 +29,9 @@
     // connection's pending reads and writes throw. Not to be called while the stack calls out.
     virtual void forget(Endpoint remote) = 0;
 
+    // Connections with bytes, or an end, that the peer has not acknowledged yet.
+    virtual std::size_t undelivered() const = 0;
+
     // Opens a connection from a local port of the stack's choosing. Throws Error (Network) if it is refused or times out.
     virtual boost::asio::awaitable<std::shared_ptr<ITcpConnection>> connect(Endpoint remote) = 0;
 };
--- a/src/requests/internal/requestgate.cpp
+++ b/src/requests/internal/requestgate.cpp
@@ -37,6 +37,8 @@
             connection->drain();
     }
 
+    void resume() override { m_state.draining = false; }
+
 private:
     GateState m_state;
     std::set<CallerConnection*> m_connections;
--- a/src/requests/irequestgate.h
+++ b/src/requests/irequestgate.h
@@ -28,6 +28,9 @@
 
     // Ends idle connections, and the others after the answer in progress; cuts none.
     virtual void drain() = 0;
+
+    // Undoes drain for connections that come from now on.
+    virtual void resume() = 0;
 };
 
 class IKeyClaims;
