--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -106,9 +106,15 @@
     return figures
 
 
+def table(context):
+    command = [context.program("bench_table"), "--repetitions", 3 if context.quick else 7, "--json"]
+    return run_report(context, command)
+
+
 EXPERIMENTS = {
     "forward": forward,
     "relay": relay,
+    "table": table,
 }
 
 
