Give each run of the data plane's tests an address of its own

Cause: the worker's tests bind fixed ports; with SO_REUSEPORT two runs at once, in two worktrees, would take packets from each other. Ruled out: ports chosen by the kernel (the table must know them beforehand). Change: the tests use a loopback address derived from the process id. Conclusion: runs do not meet, but for process ids equal in their last 16 bits.

--- a/src/dataplane/tests/balancerworker.cpp
+++ b/src/dataplane/tests/balancerworker.cpp
@@ -39,8 +39,8 @@
 
 namespace {
 
-const Endpoint balancerEndpoint = parseEndpoint("127.0.0.1:24900");
-const Endpoint fabricEndpoint = parseEndpoint("127.0.0.1:24901");
+const Endpoint balancerEndpoint { .address = processAddress(), .port = 24900 };
+const Endpoint fabricEndpoint { .address = processAddress(), .port = 24901 };
 constexpr auto agentPort = 24001;
 
 // Hands out the table it holds and counts how often it was asked.
--- a/src/dataplane/tests/fixtures.h
+++ b/src/dataplane/tests/fixtures.h
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <memory>
 #include <sys/mman.h>
+#include <unistd.h>
 #include <vector>
 
 // Records, packets and buffers that several test files use.
@@ -18,6 +19,13 @@
 const Endpoint secondService = parseEndpoint("10.0.0.2:80");
 const Endpoint udpService = parseEndpoint("10.0.0.3:53");
 
+// A loopback address of this process, so that several test runs share one machine.
+inline std::uint32_t processAddress()
+{
+    constexpr std::uint32_t loopback = 0x7f000001;
+    return loopback + ((static_cast<std::uint32_t>(getpid()) & 0xffff) << 8);
+}
+
 inline void addService(schema::Table& table, std::uint32_t id, const Endpoint& endpoint, schema::Protocol protocol)
 {
     auto& service = *table.add_services();
@@ -35,7 +43,7 @@
     server.set_incarnation(1);
     server.set_service_id(serviceId);
     server.set_zone(zone);
-    server.set_agent_endpoint("127.0.0.1:" + std::to_string(24000 + id));
+    server.set_agent_endpoint(format(Endpoint { .address = processAddress(), .port = static_cast<std::uint16_t>(24000 + id) }));
     server.set_weight(1);
     server.set_state(schema::SERVER_STATE_ACTIVE);
     return server;
