--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -106,9 +106,20 @@
     return figures
 
 
+def table(context):
+    command = [context.program("bench_table"), "--repetitions", 3 if context.quick else 7, "--json"]
+    return run_report(context, command)
+
+
+def rank(context):
+    return run_report(context, [context.program("bench_rank"), "--repetitions", 1 if context.quick else 3, "--json"])
+
+
 EXPERIMENTS = {
     "forward": forward,
+    "rank": rank,
     "relay": relay,
+    "table": table,
 }
 
 
