Measure look-ups in a flow cache larger than the processor's own

Cause: forwardHit uses 4096 flows, which fit in the processor's cache. Change: cacheFind in bench_forward: 800,000 flows, one and four threads.

--- a/src/bench/bench_forward.cpp
+++ b/src/bench/bench_forward.cpp
@@ -10,6 +10,7 @@
 #include "fleet/fleettable.h"
 #include "fleet/serverrank.h"
 #include "fleet/tableholder.h"
+#include "foundation/hash.h"
 
 #include <array>
 #include <benchmark/benchmark.h>
@@ -127,6 +128,20 @@
         benchmark::DoNotOptimize(parsePacket(bytes, packet));
 }
 
+// Look-ups by several workers in one cache that is too large for the processor's own.
+void cacheFind(benchmark::State& state)
+{
+    constexpr std::uint64_t flows = 800000;
+    static FlowCache cache(1048576);
+    if (!state.thread_index()) {
+        for (std::uint64_t flow = 0; flow < flows; ++flow)
+            cache.store(hash64(flow, 1), { .serverId = 1, .incarnation = 1 });
+    }
+    std::uint64_t flow = static_cast<std::uint64_t>(state.thread_index()) * flows / 4;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(cache.find(hash64(flow = (flow + 7919) % flows, 1)));
+}
+
 // What a worker pays once a batch; the threads share one holder.
 void loadTable(benchmark::State& state)
 {
@@ -152,6 +167,7 @@
 BENCHMARK(decode);
 BENCHMARK(encode);
 BENCHMARK(parse);
+BENCHMARK(cacheFind)->Threads(1)->Threads(4);
 BENCHMARK(loadTable)->Threads(1)->Threads(4);
 BENCHMARK(cacheMemory);
 BENCHMARK_MAIN();
