--- a/src/dataplane/internal/flowcache.h
+++ b/src/dataplane/internal/flowcache.h
@@ -32,7 +32,7 @@
     };
 
     // Entries are kept in order of their last use, newest first.
-    struct alignas(64) Set {
+    struct Set {
         std::atomic_flag locked;
         std::uint8_t used = 0;
         std::array<Entry, ways> entries;
