Damp flapping servers, hold back mass expiry, move on from stale controllers

Ruled out: holding mass expiry back for good (dead servers would keep their new flows when more than half are lost); penalties in the log. The client's stale-heartbeat rule has no test of its own.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -43,6 +43,7 @@
     , m_log(log)
     , m_clock(clock)
     , m_leases(clock, { .lease = options.serverLease })
+    , m_damping(clock, {})
     , m_feed(state, log)
 {
 }
@@ -256,12 +257,16 @@
         timer.expires_after(supervisionInterval);
         co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
         const bool leading = m_log.leading();
-        if (leading && !m_wasLeading)
+        if (leading && !m_wasLeading) {
             m_leases.restart();
+            m_damping.restart();
+        }
         m_wasLeading = leading;
         if (!leading)
             continue;
-        const auto due = m_leases.due(m_state.servers());
+        auto due = m_leases.due(m_state.servers());
+        for (auto& transition : m_damping.due(m_state.servers()))
+            due.push_back(std::move(transition));
         if (m_leases.heldBack())
             log(LogLevel::Warn, "server_expiry_held_back", { { .key = "reason", .value = "more than half of the servers are silent" } });
         for (const auto& transition : due) {
--- a/src/control/internal/controller.h
+++ b/src/control/internal/controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control.pb.h"
+#include "control/flapdamping.h"
 #include "control/fleetstate.h"
 #include "control/icommandlog.h"
 #include "control/internal/streamwriter.h"
@@ -68,6 +69,7 @@
     ICommandLog& m_log;
     const IClock& m_clock;
     LeaseTracker m_leases;
+    FlapDamping m_damping;
     TableFeed m_feed;
     bool m_stopping = false;
     bool m_wasLeading = false;
--- a/src/control/internal/leasetracker.cpp
+++ b/src/control/internal/leasetracker.cpp
@@ -25,6 +25,7 @@
 void LeaseTracker::restart()
 {
     m_reports.clear();
+    m_lastFewSilent = m_clock.now();
 }
 
 void LeaseTracker::renewed(const schema::RenewRequest& request)
@@ -67,12 +68,22 @@
         else if (!record.silent())
             due.push_back(transition(record.server(), schema::ServerTransition::KIND_SILENT, silence));
     }
-    m_heldBack = silent >= massSilenceMinimum && silent * 2 > live && !due.empty();
+    m_heldBack = holdsBack(silent, live) && !due.empty();
     if (m_heldBack)
         due.clear();
     return due;
 }
 
+bool LeaseTracker::holdsBack(std::size_t silent, std::size_t live)
+{
+    const auto now = m_clock.now();
+    if (silent < massSilenceMinimum || silent * 2 <= live) {
+        m_lastFewSilent = now;
+        return false;
+    }
+    return silent == live || now - m_lastFewSilent < m_options.lease * m_options.expiryLeases;
+}
+
 void LeaseTracker::forgetRemoved(const ServerRegistry& servers)
 {
     std::erase_if(m_reports, [&](const auto& entry) {
--- a/src/control/leasetracker.h
+++ b/src/control/leasetracker.h
@@ -31,6 +31,7 @@
     LeaseTracker(const IClock& clock, const LeaseTrackerOptions& options)
         : m_clock(clock)
         , m_options(options)
+        , m_lastFewSilent(clock.now())
     {
     }
 
@@ -39,8 +40,8 @@
 
     void renewed(const schema::RenewRequest& request);
 
-    // Transitions that are due now. Nothing is held silent while more than half of the servers are: then it is more likely
-    // that this controller is the one cut off.
+    // Transitions that are due now. Held back while more than half of the servers are silent, for then this controller is
+    // more likely to be the one cut off: as long as none renews at all, else for the leases after which a server expires.
     std::vector<schema::ServerTransition> due(const ServerRegistry& servers);
 
     // Whether the last call of due() held transitions back for that reason.
@@ -51,12 +52,15 @@
 
 private:
     MonotonicTime lastHeard(const schema::ServerRecord& record);
+    bool holdsBack(std::size_t silent, std::size_t live);
     void forgetRemoved(const ServerRegistry& servers);
 
     const IClock& m_clock;
     LeaseTrackerOptions m_options;
     std::map<std::uint32_t, Report> m_reports;
     bool m_heldBack = false;
+    // When at most half of the servers were silent last.
+    MonotonicTime m_lastFewSilent;
 };
 
 } // namespace clementinesill::control
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -17,6 +17,10 @@
 constexpr auto leaveTimeout = std::chrono::seconds(5);
 // How long a new stream may take to its first update.
 constexpr auto firstUpdateTimeout = std::chrono::seconds(2);
+// How long no controller may be heard before the daemon says so.
+constexpr auto unreachableAfter = std::chrono::seconds(5);
+// Heartbeats in a row with an older version than a peer's packet carried, after which another controller is asked.
+constexpr int staleHeartbeatLimit = 3;
 // How often the watch thread looks whether it is to stop.
 constexpr auto stopCheckInterval = std::chrono::milliseconds(100);
 // Largest table accepted, in bytes.
@@ -134,12 +138,21 @@
 {
     auto random = SeededRandom::fromEntropy();
     ControllerChoice choice({ m_settings.controllers().begin(), m_settings.controllers().end() }, random);
+    auto lastReceived = Clock::now();
+    bool alone = false;
     while (!m_stopping) {
         const auto end = watchOnce(choice.current());
         if (m_stopping)
             return;
-        if (end.received)
+        if (end.received) {
             choice.succeeded();
+            lastReceived = Clock::now();
+        }
+        if (const bool unreachable = Clock::now() - lastReceived > unreachableAfter; unreachable != alone) {
+            alone = unreachable;
+            // Without a majority nothing is accepted, so the table held is still right, or the newest this daemon can have.
+            log(alone ? LogLevel::Warn : LogLevel::Info, alone ? "controllers_unreachable" : "controllers_reachable", { { .key = "serving_version", .value = std::to_string(m_table.version()) } });
+        }
         log(LogLevel::Info, "watch_ended", { { .key = "controller", .value = choice.current() }, { .key = "version", .value = std::to_string(m_table.version()) }, { .key = "reason", .value = end.reason } });
         pause(end.refused ? choice.follow(end.hint) : choice.failed());
     }
@@ -157,13 +170,19 @@
     WatchEnd end;
     Duration lease = firstUpdateTimeout;
     schema::TableUpdate update;
-    bool open = stream.opened();
+    int staleHeartbeats = 0;
+    const bool open = stream.opened();
     while (open && stream.read(update, lease)) {
         if (!takeUpdate(update)) {
             end.reason = "the controller's update does not fit the table held";
             return end;
         }
         end.received = true;
+        staleHeartbeats = m_holder.highestVersionSeen() > m_table.version() ? staleHeartbeats + 1 : 0;
+        if (staleHeartbeats >= staleHeartbeatLimit) {
+            end.reason = "a peer holds a newer table than this controller gives";
+            return end;
+        }
         if (update.lease_ms())
             lease = std::chrono::milliseconds(update.lease_ms());
     }
