Bound the daemon test's waits, tell a lasting conflict once, drop an unused writer

Cause: with the address trial off, the daemon test waited for ever and left a process behind instead of failing; `watch`'s rule to tell a lasting failure once had no test that could fail; the controllers take mergeOperatorFolder's result as it is, so operatorFile has no caller. Ruled out: keeping operatorFile for later.

--- a/src/app/tests/daemon.cpp
+++ b/src/app/tests/daemon.cpp
@@ -50,6 +50,8 @@
 {
     std::string folder;
     pid_t process = 0;
+    // A daemon that runs beside the one under test.
+    pid_t other = 0;
 
     void setup() override
     {
@@ -60,13 +62,20 @@
 
     void teardown() override
     {
-        if (process) {
-            kill(process, SIGKILL);
-            wait();
-        }
+        end(process);
+        end(other);
         std::filesystem::remove_all(folder);
     }
 
+    static void end(pid_t & running)
+    {
+        if (!running)
+            return;
+        kill(running, SIGKILL);
+        waitpid(running, nullptr, 0);
+        running = 0;
+    }
+
     std::string settingsFile() const { return folder + "/daemon.json"; }
     std::string logText() const { return readText(folder + "/daemon.log"); }
 
@@ -94,11 +103,12 @@
         posix_spawn_file_actions_destroy(&actions);
     }
 
-    // Exit code of the process once it has ended; -1 if a signal ended it.
+    // Exit code of the process once it has ended; -1 if a signal ended it, or if it does not end.
     int wait()
     {
         int status = 0;
-        waitpid(process, &status, 0);
+        if (!waitFor([&] { return waitpid(process, &status, WNOHANG) == process; }))
+            return -1;
         process = 0;
         return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
     }
@@ -175,8 +185,7 @@
     writeSettings("info");
     start({ settingsFile() });
     CHECK_TRUE_TEXT(waitFor(ready), readText(folder + "/stderr").c_str());
-    const auto first = process;
+    other = process;
     LONGS_EQUAL(3, run({ settingsFile() }));
     CHECK(readText(folder + "/stderr").find("in use") != std::string::npos);
-    process = first;
 }
--- a/src/operators/foldermerge.h
+++ b/src/operators/foldermerge.h
@@ -7,10 +7,6 @@
 #include <string>
 #include <vector>
 
-namespace clementinesill::schema {
-class OperatorFile;
-}
-
 namespace clementinesill::operators {
 
 // Merges the files of the operators' folder in the order of their names, whatever order they are handed over in.
@@ -18,9 +14,6 @@
 // Throws ConfigError (InvalidConfiguration, or Unsupported for IPv6) at the first fault, naming file, line, key and remedy.
 FleetConfig mergeOperatorFolder(std::span<const ConfigFile> files);
 
-// Writes the records as the content of one file with every default given; merging that gives the same configuration.
-schema::OperatorFile operatorFile(const FleetConfig& config);
-
 // Reads the files of a folder whose names end in ".json"; others and subfolders are left out.
 // Throws ConfigError (InvalidConfiguration): MissingFolder, Unreadable or TooLarge.
 std::vector<ConfigFile> readOperatorFolder(const std::string& folder);
--- a/src/operators/internal/foldermerge.cpp
+++ b/src/operators/internal/foldermerge.cpp
@@ -36,16 +36,6 @@
     { "out", schema::ZONE_STATE_OUT },
 } };
 
-template <typename Value>
-std::string nameOf(std::span<const NamedValue<Value>> values, Value value)
-{
-    for (const auto& candidate : values) {
-        if (candidate.value == value)
-            return std::string(candidate.name);
-    }
-    return {};
-}
-
 using ServiceSource = MergedRecord<schema::ServiceRecord>;
 using ZoneSource = MergedRecord<schema::ZoneRecord>;
 
@@ -154,26 +144,4 @@
     return config;
 }
 
-schema::OperatorFile operatorFile(const FleetConfig& config)
-{
-    schema::OperatorFile file;
-    for (const auto& service : config.services) {
-        auto& record = *file.add_services();
-        record.set_name(service.name());
-        record.set_address(service.address());
-        record.set_port(service.port());
-        record.set_protocol(nameOf<schema::Protocol>(protocols, service.protocol()));
-        record.set_mode(nameOf<schema::ServiceMode>(modes, service.mode()));
-        record.set_proxy_protocol(service.proxy_protocol());
-        record.set_idle_timeout_seconds(service.idle_timeout_seconds());
-        record.set_request_timeout_ms(service.request_timeout_ms());
-    }
-    for (const auto& zone : config.zones) {
-        auto& record = *file.add_zones();
-        record.set_name(zone.name());
-        record.set_state(nameOf<schema::ZoneState>(zoneStates, zone.state()));
-    }
-    return file;
-}
-
 } // namespace clementinesill::operators
--- a/src/operators/tests/commandline.cpp
+++ b/src/operators/tests/commandline.cpp
@@ -217,13 +217,17 @@
     LONGS_EQUAL(1, std::ranges::count(err.str(), '\n'));
 }
 
-TEST(CommandLine, WatchTriesAgainAfterAConflict)
+TEST(CommandLine, WatchTriesAgainAfterAConflictAndTellsItOnce)
 {
     FakeOperators controller(firstPort + 11);
     controller.changeOutcome.set_code(schema::Outcome::CODE_CONFLICT);
     write("a.json", ordersFile);
-    pendingLooks = 2;
-    duringPause = [&] { controller.changeOutcome.set_code(schema::Outcome::CODE_OK); };
+    pendingLooks = 4;
+    duringPause = [&] {
+        if (controller.applied.size() == 3)
+            controller.changeOutcome.set_code(schema::Outcome::CODE_OK);
+    };
     LONGS_EQUAL(0, run({ "watch", folder, "--controllers", controller.endpoint() }));
-    LONGS_EQUAL(2, controller.applied.size());
+    LONGS_EQUAL(4, controller.applied.size());
+    LONGS_EQUAL(1, std::ranges::count(err.str(), '\n'));
 }
--- a/src/operators/tests/foldermerge.cpp
+++ b/src/operators/tests/foldermerge.cpp
@@ -1,11 +1,9 @@
 #include "operators/foldermerge.h"
 
 #include "operators/configerror.h"
-#include "settings.pb.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
-#include <google/protobuf/util/json_util.h>
 #include <optional>
 #include <rapidcheck.h>
 #include <sstream>
@@ -89,19 +87,6 @@
     LONGS_EQUAL(schema::ZONE_STATE_UNSPECIFIED, config.zones[1].state());
 }
 
-TEST(FolderMerge, WrittenBackItMergesToTheSame)
-{
-    const std::vector<ConfigFile> files {
-        { .name = "a.json", .content = R"({"services":[{"name":"feed","address":"127.0.1.10","port":80,"mode":"stream","protocol":"udp"},
-            {"name":"orders","address":"127.0.1.10","port":80,"mode":"http"}],"zones":[{"name":"a"},{"name":"b","state":"out"}]})" },
-    };
-    const auto config = mergeOperatorFolder(files);
-    std::string text;
-    CHECK(google::protobuf::util::MessageToJsonString(operatorFile(config), &text).ok());
-    const std::vector<ConfigFile> written { { .name = "b.json", .content = text } };
-    STRCMP_EQUAL(describe(config).c_str(), describe(mergeOperatorFolder(written)).c_str());
-}
-
 TEST(FolderMerge, NamesFileLineAndKeyOfEachFault)
 {
     const Refusal refusals[] = {
