--- a/src/requests/tests/gateharness.h
+++ b/src/requests/tests/gateharness.h
@@ -22,8 +22,12 @@
         options.server = { .address = 0x7f000001, .port = server->port() };
         options.limits.lingerTimeout = std::chrono::milliseconds(2);
         gate = makeRequestGate(options, admission, clock, metrics, context);
+        m_options = options;
     }
 
+    // Called before the first connection.
+    void useClaims(IKeyClaims& claims) { gate = makeRequestGate(m_options, admission, clock, metrics, context, &claims); }
+
     ~GateHarness()
     {
         for (auto& caller : m_callers)
@@ -84,6 +88,7 @@
         CallerContext context;
     };
 
+    RequestGateOptions m_options;
     std::vector<std::unique_ptr<Caller>> m_callers;
 };
 
