Ask silent servers last, and elect sooner

Cause of agent_killed: a server that stopped renewing its lease took no new flows but still ranked first for every other packet, so balancers that had not forwarded the SYN sent the flow's packets to a dead agent, which passes nothing on. The table now tells silent from draining; balancers and agents ask silent servers only when no other is left, so a server that is alive but cut off is still found. Ruled out: removing it at once, which would break its flows when only its link to the controllers is gone. New property in the forwarder's tests.

--- a/src/agent/internal/flowrouter.cpp
+++ b/src/agent/internal/flowrouter.cpp
@@ -236,7 +236,7 @@
     const auto passes = [&](const fleet::ServerEntry& server) {
         return server.id != m_options.identity.serverId && !visited(message, server.id) && filter(server);
     };
-    if (const auto* server = fleet::firstInRank(fleet::hash(packet.key, view.table.hashSeed()), service->servers, passes))
+    if (const auto* server = fleet::firstToAsk(fleet::hash(packet.key, view.table.hashSeed()), service->servers, passes))
         return { .action = FlowAction::PassOn, .reason = reason, .nextAgent = server->agent, .nextServerId = server->id, .nextIncarnation = server->incarnation };
     return filter == fleet::isReachable ? nextCandidate(message, view, reason) : drop(reason);
 }
--- a/src/agent/internal/nexthop.cpp
+++ b/src/agent/internal/nexthop.cpp
@@ -28,7 +28,7 @@
         const auto& server = service.servers[index];
         if (server.zoneOut || asked(message, server.id))
             continue;
-        message.candidates.push_back({ .serverId = server.id, .incarnation = server.incarnation, .agent = server.agent, .draining = server.draining });
+        message.candidates.push_back({ .serverId = server.id, .incarnation = server.incarnation, .agent = server.agent, .draining = !server.accepting() });
         if (message.candidates.size() == dataplane::maximumCandidates)
             return;
     }
--- a/src/control/internal/serverregistry.cpp
+++ b/src/control/internal/serverregistry.cpp
@@ -19,8 +19,13 @@
 
 void updateState(schema::ServerRecord& record)
 {
-    const bool draining = record.drained_by_operator() || record.drained_by_agent() || record.silent() || record.damped();
-    record.mutable_server()->set_state(draining ? schema::SERVER_STATE_DRAINING : schema::SERVER_STATE_ACTIVE);
+    auto& server = *record.mutable_server();
+    if (record.silent()) {
+        server.set_state(schema::SERVER_STATE_SILENT);
+        return;
+    }
+    const bool draining = record.drained_by_operator() || record.drained_by_agent() || record.damped();
+    server.set_state(draining ? schema::SERVER_STATE_DRAINING : schema::SERVER_STATE_ACTIVE);
 }
 
 void describe(schema::Server& server, const schema::ServerAnnouncement& announcement)
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -29,8 +29,8 @@
     std::vector<ReplicaPeer> peers;
     Duration heartbeat = std::chrono::milliseconds(150);
     // A follower that hears no leader for a random time between these asks for votes, and gives none before the shorter.
-    Duration shortestElectionTimeout = std::chrono::milliseconds(1000);
-    Duration longestElectionTimeout = std::chrono::milliseconds(2000);
+    Duration shortestElectionTimeout = std::chrono::milliseconds(600);
+    Duration longestElectionTimeout = std::chrono::milliseconds(1200);
     // Shorter than the shortest election timeout by what the clocks may drift apart in that time.
     Duration lease = std::chrono::milliseconds(750);
     // Entries between snapshots.
--- a/src/dataplane/internal/forwarder.cpp
+++ b/src/dataplane/internal/forwarder.cpp
@@ -53,7 +53,7 @@
 
 ForwardDecision Forwarder::openFlow(const Flow& flow)
 {
-    const auto* const first = fleet::firstInRank(flow.hash, flow.service.servers, fleet::isReachable);
+    const auto* const first = fleet::firstToAsk(flow.hash, flow.service.servers, fleet::isReachable);
     const bool firstAccepts = first && first->accepting();
     const auto* const server = firstAccepts ? first : fleet::firstInRank(flow.hash, flow.service.servers, fleet::takesNewFlows);
     if (!server)
@@ -73,7 +73,9 @@
         return nullptr;
     const auto* server = flow.table.server(entry->serverId);
     // The service is compared because two flows of different services may share a hash.
-    if (server && server->incarnation == entry->incarnation && server->serviceId == flow.service.id && !server->zoneOut)
+    const bool usable = server && server->incarnation == entry->incarnation && server->serviceId == flow.service.id && !server->zoneOut;
+    // In a large service the entry may be the rank's answer and no holder's; a silent server would then swallow the packet.
+    if (usable && !(server->silent && remembersRank(flow.service)))
         return server;
     m_cache.erase(flow.hash);
     return nullptr;
@@ -81,7 +83,7 @@
 
 ForwardDecision Forwarder::continueFlow(const Flow& flow)
 {
-    const auto* server = fleet::firstInRank(flow.hash, flow.service.servers, fleet::isReachable);
+    const auto* server = fleet::firstToAsk(flow.hash, flow.service.servers, fleet::isReachable);
     if (!server)
         return drop(ForwardReason::NoServer);
     if (remembersRank(flow.service))
--- a/src/dataplane/tests/forwarder.cpp
+++ b/src/dataplane/tests/forwarder.cpp
@@ -120,6 +120,27 @@
     }));
 }
 
+// A dead server that ranks first must not swallow the packets of flows that others took since.
+TEST(Forwarder, AsksASilentServerOnlyIfThereIsNoOther)
+{
+    CHECK(rc::check("over random sets of silent servers", [](std::uint32_t caller) {
+        auto table = makeTable(1, *rc::gen::inRange<std::uint32_t>(1, 8));
+        std::size_t renewing = 0;
+        for (auto& server : *table.mutable_servers()) {
+            const bool silent = *rc::gen::arbitrary<bool>();
+            server.set_state(silent ? schema::SERVER_STATE_SILENT : schema::SERVER_STATE_ACTIVE);
+            renewing += !silent && server.service_id() == firstServiceId;
+        }
+        Balancer opener;
+        Balancer other;
+        const auto opened = opener.open(caller, table);
+        const auto next = other.next(caller, table);
+        RC_ASSERT(opened.dropped == !renewing);
+        RC_ASSERT(!next.dropped);
+        RC_ASSERT(!renewing || next.route.serverId == opened.route.serverId);
+    }));
+}
+
 TEST(Forwarder, FlowSurvivesTwoChangesOfMembershipAtOnce)
 {
     CHECK(rc::check("a balancer that learned the holder keeps to it", [](std::uint32_t caller) {
--- a/src/fleet/internal/fleettable.cpp
+++ b/src/fleet/internal/fleettable.cpp
@@ -53,6 +53,7 @@
             .agent = parseEndpoint(record.agent_endpoint()),
             .weight = std::max(1U, record.weight()),
             .draining = record.state() == schema::SERVER_STATE_DRAINING,
+            .silent = record.state() == schema::SERVER_STATE_SILENT,
             .zoneOut = zoneOut(record.zone()),
             .zone = record.zone(),
             .name = record.name(),
--- a/src/fleet/serverrank.h
+++ b/src/fleet/serverrank.h
@@ -88,4 +88,15 @@
 // Whether packets of any kind may go to the server.
 inline bool isReachable(const ServerEntry& server) { return !server.zoneOut; }
 
+// First server in rank order that passes the filter and is not silent; the first silent one only if there is no other.
+// A silent server is most likely dead and would swallow the packets of flows that others hold.
+template <std::predicate<const ServerEntry&> Filter>
+const ServerEntry* firstToAsk(std::uint64_t flowHash, std::span<const ServerEntry> servers, Filter&& passes)
+{
+    const auto passesAndRenews = [&](const ServerEntry& server) { return !server.silent && passes(server); };
+    if (const auto* server = firstInRank(flowHash, servers, passesAndRenews))
+        return server;
+    return firstInRank(flowHash, servers, passes);
+}
+
 } // namespace clementinesill::fleet
--- a/src/fleet/types/serverentry.h
+++ b/src/fleet/types/serverentry.h
@@ -15,12 +15,14 @@
     Endpoint agent;
     std::uint32_t weight = 1;
     bool draining = false;
+    // Has not renewed its lease: dead, or cut off from the controllers.
+    bool silent = false;
     bool zoneOut = false;
     std::string zone;
     std::string name;
 
     // Whether new flows may go to it.
-    bool accepting() const { return !draining && !zoneOut; }
+    bool accepting() const { return !draining && !silent && !zoneOut; }
 };
 
 } // namespace clementinesill::fleet
--- a/src/operators/internal/controllerclient.cpp
+++ b/src/operators/internal/controllerclient.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds firstBackoff { 50 };
-constexpr std::chrono::milliseconds longestBackoff { 1'000 };
+constexpr std::chrono::milliseconds longestBackoff { 300 };
 
 std::string seconds(std::chrono::milliseconds duration)
 {
--- a/src/operators/internal/readcommands.cpp
+++ b/src/operators/internal/readcommands.cpp
@@ -27,6 +27,20 @@
     }
 }
 
+std::string stateName(schema::ServerState state)
+{
+    switch (state) {
+    case schema::SERVER_STATE_ACTIVE:
+        return "active";
+    case schema::SERVER_STATE_DRAINING:
+        return "draining";
+    case schema::SERVER_STATE_SILENT:
+        return "silent";
+    default:
+        return "unknown";
+    }
+}
+
 std::string zoneTable(const schema::StatusResponse& status)
 {
     TextTable table({ "ZONE", "STATE" });
@@ -63,7 +77,7 @@
     TextTable text({ "SERVER", "SERVICE", "ZONE", "STATE", "HEALTHY", "IN PROGRESS", "FLOWS", "SLOTS", "WARM-UP LIMIT", "SILENT MS", "ID", "INCARNATION", "AGENT" });
     for (const auto& entry : status.servers()) {
         const auto& server = entry.server();
-        text.add({ server.name(), services[server.service_id()], server.zone(), server.state() == schema::SERVER_STATE_DRAINING ? "draining" : "active", entry.healthy() ? "yes" : "no",
+        text.add({ server.name(), services[server.service_id()], server.zone(), stateName(server.state()), entry.healthy() ? "yes" : "no",
             std::to_string(entry.in_progress()), std::to_string(entry.flows()), std::to_string(server.slots()), std::to_string(entry.warmup_limit()), std::to_string(entry.silent_ms()),
             std::to_string(server.id()), std::to_string(server.incarnation()), server.agent_endpoint() });
     }
