--- a/src/control/tests/flapdamping.cpp
+++ b/src/control/tests/flapdamping.cpp
@@ -23,7 +23,7 @@
         for (int time = 0; time < times; ++time) {
             clock.advance(std::chrono::seconds(1));
             for (int index = 1; index <= last; ++index)
-                servers.announce(index, ++m_bootId);
+                servers.announce(index, ++bootId);
             for (const auto& transition : damping.due(servers.registry)) {
                 servers.registry.transition(transition);
                 all.push_back(transition);
@@ -32,7 +32,7 @@
         return all;
     }
 
-    std::uint64_t m_bootId = 1;
+    std::uint64_t bootId = 1;
 };
 // clang-format on
 
