Test that entries of earlier terms are not committed by counting

Cause: the random schedules passed with that rule off, so nothing showed it. Change: a focused test of an old entry that reaches a majority under a later term and can still be replaced.

--- a/src/control/tests/replicagroup.h
+++ b/src/control/tests/replicagroup.h
@@ -105,6 +105,7 @@
             options.peers.push_back({ .name = peer->name, .endpoint = peer->name });
         options.snapshotEntries = 8;
         options.keptEntries = 2;
+        options.batchBytes = batchBytes;
         try {
             replica.log = std::make_unique<clementinesill::control::ReplicatedLog>(options, clock, random, *replica.storage, replica.machine);
         } catch (const FakeFileSystem::PowerLoss&) {
@@ -220,6 +221,8 @@
     clementinesill::SeededRandom random;
     std::vector<std::unique_ptr<Replica>> replicas;
     std::vector<Message> queue;
+    // Of replicas started from now on; 1 sends one entry a message.
+    std::size_t batchBytes = 1 << 20;
     std::set<std::pair<std::size_t, std::size_t>> cuts;
     // Messages for which it says so are lost, if set.
     std::function<bool(const Message&)> lose;
--- a/src/control/tests/replicatedlog.cpp
+++ b/src/control/tests/replicatedlog.cpp
@@ -23,6 +23,7 @@
     RandomSchedule(std::size_t count, std::uint64_t seed)
         : m_group(count, seed)
     {
+        m_group.batchBytes = seed % 2 ? 1 : m_group.batchBytes;
     }
 
     void run(int steps)
@@ -293,3 +294,46 @@
     CHECK_FALSE(group.settle([&] { return !group.replicas[leader]->log->leaseLive(); }));
     LONGS_EQUAL(term, group.replicas[leader]->log->term());
 }
+
+TEST(ReplicatedLog, EntryOfAnEarlierTermIsNotCommittedByCountingAlone)
+{
+    ReplicaGroup group(3);
+    CHECK(group.settle([&] { return group.allAdmitted(); }));
+    group.batchBytes = 1;
+    for (std::size_t index = 0; index < 3; ++index) {
+        group.kill(index);
+        group.start(index);
+    }
+    CHECK(group.settleLeader());
+    const auto first = *group.leader();
+    const auto carriesFrom = [](const auto& message, std::uint64_t index) {
+        const auto* append = std::get_if<schema::AppendRequest>(&message.message.request);
+        return append && append->entries_size() && append->entries(0).index() >= index;
+    };
+    // An entry that only its leader holds, and one of the next leader at the same index.
+    group.lose = [&](const auto& message) { return carriesFrom(message, 0); };
+    const auto index = group.propose(first, "old").index;
+    CHECK(index > 0);
+    group.kill(first);
+    std::size_t second = first;
+    CHECK(group.settle([&] {
+        for (std::size_t other = 0; other < 3; ++other)
+            second = group.replicas[other]->log && group.replicas[other]->log->role() == ReplicaRole::Leader ? other : second;
+        return second != first;
+    }));
+    group.kill(second);
+    const auto third = 3 - first - second;
+    // The first leads again and gets its old entry to a majority, but none of its new term.
+    const auto thirdHoldsOld = [&] { return group.replicas[third]->log->entries().lastIndex() >= index; };
+    group.lose = [&](const auto& message) { return carriesFrom(message, index + 1) && thirdHoldsOld(); };
+    group.start(first);
+    CHECK(group.settle(thirdHoldsOld));
+    group.deliverAll();
+    CHECK_FALSE(holds(group.replicas[first]->machine, "old"));
+    // The second can still win and replace it.
+    group.kill(first);
+    group.lose = nullptr;
+    group.start(second);
+    CHECK(group.settleLeader());
+    CHECK_FALSE(holds(group.replicas[third]->machine, "old"));
+}
