Use the key files for gRPC, and name operators by their certificates

Cause: controllers and daemons opened plain gRPC even with tls set, so settings off loopback passed the check and nothing was encrypted. Ruled out: refusing tls until it works; the credentials class was ready. Change: controller, its peers and the fleet client take net::daemonCredentials; a change carries the common name of its sender's certificate, which goes before the name that the request claims.

--- a/src/control/internal/controllermodule.cpp
+++ b/src/control/internal/controllermodule.cpp
@@ -6,6 +6,7 @@
 #include "foundation/error.h"
 #include "foundation/log.h"
 #include "foundation/systemclock.h"
+#include "net/credentials.h"
 #include "settings.pb.h"
 
 #include <boost/asio/detached.hpp>
@@ -44,8 +45,9 @@
 public:
     explicit ControllerModule(const schema::DaemonSettings& settings)
         : m_settings(settings.controller())
+        , m_credentials(net::daemonCredentials(settings))
         , m_work(boost::asio::make_work_guard(m_context))
-        , m_log(m_context, logOptions(settings), dataFolder(settings), m_state, m_clock)
+        , m_log(m_context, logOptions(settings), dataFolder(settings), m_state, m_credentials.channel(), m_clock)
         , m_controller(m_context, options(settings), m_state, m_log, m_clock)
         , m_fleetService(m_context, m_controller)
         , m_operatorService(m_context, m_controller)
@@ -60,7 +62,7 @@
         grpc::ServerBuilder builder;
         int port = 0;
         builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-        builder.AddListeningPort(m_settings.endpoint(), grpc::InsecureServerCredentials(), &port);
+        builder.AddListeningPort(m_settings.endpoint(), m_credentials.server(), &port);
         builder.RegisterService(&m_fleetService);
         builder.RegisterService(&m_operatorService);
         builder.RegisterService(&m_peerService);
@@ -96,6 +98,7 @@
     }
 
     schema::ControllerSettings m_settings;
+    net::Credentials m_credentials;
     SystemClock m_clock;
     FleetState m_state;
     boost::asio::io_context m_context;
--- a/src/control/internal/peerlink.cpp
+++ b/src/control/internal/peerlink.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-PeerLink::PeerLink(boost::asio::io_context& context, ReplicatedLog& log, const ReplicaPeer& peer, std::function<void()> answered)
+PeerLink::PeerLink(boost::asio::io_context& context, ReplicatedLog& log, const ReplicaPeer& peer, const std::shared_ptr<grpc::ChannelCredentials>& credentials, std::function<void()> answered)
     : m_context(context)
     , m_log(log)
     , m_peer(peer)
@@ -48,7 +48,7 @@
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 200);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
-    m_stub = schema::Peers::NewStub(grpc::CreateCustomChannel(peer.endpoint, grpc::InsecureChannelCredentials(), arguments));
+    m_stub = schema::Peers::NewStub(grpc::CreateCustomChannel(peer.endpoint, credentials, arguments));
 }
 
 awaitable<void> PeerLink::run()
--- a/src/control/internal/peerlink.h
+++ b/src/control/internal/peerlink.h
@@ -9,13 +9,17 @@
 #include <optional>
 #include <string>
 
+namespace grpc {
+class ChannelCredentials;
+}
+
 namespace clementinesill::control {
 
 // Sends what the replicated log has for one peer, one message at a time.
 class PeerLink {
 public:
     // answered is called after each answer was handed to the log.
-    PeerLink(boost::asio::io_context& context, ReplicatedLog& log, const ReplicaPeer& peer, std::function<void()> answered);
+    PeerLink(boost::asio::io_context& context, ReplicatedLog& log, const ReplicaPeer& peer, const std::shared_ptr<grpc::ChannelCredentials>& credentials, std::function<void()> answered);
 
     // Runs until stop().
     boost::asio::awaitable<void> run();
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-ReplicatedCommandLog::ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const IClock& clock)
+ReplicatedCommandLog::ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock)
     : m_context(context)
     , m_options(options)
     , m_state(state)
@@ -38,7 +38,7 @@
 {
     for (const auto& peer : options.peers) {
         if (peer.name != options.name)
-            m_links.push_back(std::make_unique<PeerLink>(context, m_log, peer, [this] { afterEvent(); }));
+            m_links.push_back(std::make_unique<PeerLink>(context, m_log, peer, credentials, [this] { afterEvent(); }));
     }
 }
 
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -21,7 +21,7 @@
 class ReplicatedCommandLog final : public ICommandLog {
 public:
     // changed is called after the state or the leadership may have changed. Throws Error (Storage).
-    ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const IClock& clock);
+    ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock);
 
     // Starts the coroutines of the log and of each peer.
     void start(std::function<void()> changed);
--- a/src/control/internal/rpcservices.cpp
+++ b/src/control/internal/rpcservices.cpp
@@ -1,5 +1,7 @@
 #include "control/internal/rpcservices.h"
 
+#include "net/credentials.h"
+
 #include <boost/asio/detached.hpp>
 
 namespace clementinesill::control {
@@ -7,6 +9,20 @@
 using boost::asio::co_spawn;
 using boost::asio::detached;
 
+namespace {
+
+// The request with the name of its sender's certificate, which goes before the name that the request claims.
+template <typename Request>
+Request identified(const grpc::CallbackServerContext& call, Request request)
+{
+    const auto name = net::peerName(*call.auth_context());
+    if (!name.empty())
+        request.set_operator_name(name);
+    return request;
+}
+
+} // namespace
+
 grpc::ServerWriteReactor<schema::TableUpdate>* FleetService::Watch(grpc::CallbackServerContext*, const schema::WatchRequest* request)
 {
     auto writer = Controller::Watcher::create(m_context);
@@ -32,17 +48,17 @@
 
 grpc::ServerUnaryReactor* OperatorService::Apply(grpc::CallbackServerContext* call, const schema::ApplyRequest* request, schema::ChangeResponse* response)
 {
-    return answer(m_context, call, [this, request, response] { return m_controller.applyFiles(*request, *response); });
+    return answer(m_context, call, [this, request = identified(*call, *request), response] { return m_controller.applyFiles(request, *response); });
 }
 
 grpc::ServerUnaryReactor* OperatorService::SetZone(grpc::CallbackServerContext* call, const schema::SetZoneRequest* request, schema::ChangeResponse* response)
 {
-    return answer(m_context, call, [this, request, response] { return m_controller.setZone(*request, *response); });
+    return answer(m_context, call, [this, request = identified(*call, *request), response] { return m_controller.setZone(request, *response); });
 }
 
 grpc::ServerUnaryReactor* OperatorService::DrainServer(grpc::CallbackServerContext* call, const schema::DrainServerRequest* request, schema::ChangeResponse* response)
 {
-    return answer(m_context, call, [this, request, response] { return m_controller.drainServer(*request, *response); });
+    return answer(m_context, call, [this, request = identified(*call, *request), response] { return m_controller.drainServer(request, *response); });
 }
 
 grpc::ServerUnaryReactor* OperatorService::ReadConfig(grpc::CallbackServerContext* call, const schema::ReadConfigRequest*, schema::ReadConfigResponse* response)
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -108,6 +108,7 @@
 
 GrpcFleetClient::GrpcFleetClient(const schema::DaemonSettings& settings)
     : m_settings(settings)
+    , m_credentials(net::daemonCredentials(settings))
     , m_random(SeededRandom::fromEntropy())
     , m_callChoice({ settings.controllers().begin(), settings.controllers().end() }, m_random)
 {
@@ -241,7 +242,7 @@
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 500);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 2000);
-    stub = schema::Fleet::NewStub(grpc::CreateCustomChannel(endpoint, grpc::InsecureChannelCredentials(), arguments));
+    stub = schema::Fleet::NewStub(grpc::CreateCustomChannel(endpoint, m_credentials.channel(), arguments));
     return stub;
 }
 
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -6,6 +6,7 @@
 #include "fleet/tableholder.h"
 #include "foundation/seededrandom.h"
 #include "settings.pb.h"
+#include "net/credentials.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -53,6 +54,7 @@
     Response call(grpc::Status (Stub::*method)(grpc::ClientContext*, const Request&, Response*), const Request& request, Duration timeout);
 
     schema::DaemonSettings m_settings;
+    net::Credentials m_credentials;
     TableHolder m_holder;
     // Held by the watch thread only.
     schema::Table m_table;
