--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -9,50 +9,17 @@
 import json
 import os
 import pathlib
-import statistics
 import subprocess
 import sys
 import tempfile
 
+import experiments
+from figures import Context, Figure
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 RESULTS = ROOT / "results"
 
 
-@dataclasses.dataclass
-class Context:
-    """Where the programs are and how long the experiments may take."""
-    build: pathlib.Path
-    quick: bool
-    seed: str
-    parameters: dict = dataclasses.field(default_factory=dict)
-
-    def program(self, name):
-        return self.build / "src" / "bench" / name
-
-
-@dataclasses.dataclass
-class Figure:
-    """A measured quantity with every repetition's value, and the bounds that it should keep."""
-    name: str
-    unit: str
-    values: list
-    at_least: float | None = None
-    at_most: float | None = None
-
-    @property
-    def median(self):
-        return statistics.median(self.values)
-
-    @property
-    def met(self):
-        """None without a target."""
-        if self.at_least is None and self.at_most is None:
-            return None
-        low = self.at_least is None or self.median >= self.at_least
-        high = self.at_most is None or self.median <= self.at_most
-        return low and high
-
-
 def run_json(command):
     """Runs a program whose last argument is the JSON file that it writes, and returns what it wrote."""
     with tempfile.TemporaryDirectory() as folder:
@@ -120,9 +87,21 @@
     "rank": rank,
     "relay": relay,
     "table": table,
+    **experiments.EXPERIMENTS,
 }
 
 
+def draw(courses, file):
+    """Draws time courses as an SVG; nothing if there are none."""
+    if not courses:
+        return
+    script = [f'set terminal svg size 900,360; set output "{file}"; set xlabel "seconds"; set yrange [0:*]']
+    script.append("plot " + ", ".join(f"'-' with lines title '{name}'" for name in courses))
+    for course in courses.values():
+        script += [f"{second} {value}" for second, value in course] + ["e"]
+    subprocess.run(["gnuplot"], input="\n".join(script), text=True, check=True)
+
+
 def commit():
     """Short id of the commit, marked if the tree differs from it."""
     head = subprocess.run(["git", "rev-parse", "--short", "HEAD"], cwd=ROOT, capture_output=True, text=True, check=True)
@@ -155,6 +134,7 @@
     RESULTS.mkdir(exist_ok=True)
     file = RESULTS / f"{name}-{result['commit']}.json"
     file.write_text(json.dumps(result, indent=2) + "\n")
+    draw(context.courses, file.with_suffix(".svg"))
     rows = [("figure", "median", "least", "greatest", "unit", "target", "")]
     for figure in figures:
         rows.append((figure.name, f"{figure.median:.4g}", f"{min(figure.values):.4g}", f"{max(figure.values):.4g}",
