List an agent's flows and explain its decisions

Cause: no role filled the admin endpoint, so flows and explain were empty and /ready meant only that the role had started. Change: AgentReport reads flow table, admission and decision trace on the agent's loop; the packet path traces every decision but to deliver a held flow's packet (the last 4096). Ruled out: a lock around the flow table, which every packet would take.

--- a/src/agent/internal/agentmodule.cpp
+++ b/src/agent/internal/agentmodule.cpp
@@ -1,7 +1,9 @@
 #include "agent/agentmodule.h"
 
+#include "admin/decisiontrace.h"
 #include "admission/admission.h"
 #include "agent/departure.h"
+#include "agent/internal/agentreport.h"
 #include "agent/internal/flowrouter.h"
 #include "agent/internal/flowserver.h"
 #include "agent/internal/flowtable.h"
@@ -35,6 +37,8 @@
 
 namespace {
 
+// Decisions kept for `explain`.
+constexpr std::size_t tracedDecisions = 4096;
 constexpr std::chrono::seconds tableTimeout { 10 };
 constexpr std::chrono::milliseconds tablePollInterval { 20 };
 // How soon a table in force is acted on where no packet comes.
@@ -82,6 +86,8 @@
         m_registration.start();
     }
 
+    const admin::IAdminSource* adminSource() const override { return m_report.get(); }
+
     void stop() override
     {
         asio::post(m_loop, [this] { startLeaving(); });
@@ -129,12 +135,13 @@
         m_idleTimeout = service.idleTimeout;
         m_state = std::make_unique<ServingState>(identity.serverId, m_zone);
         m_router = std::make_unique<FlowRouter>(FlowRouterOptions { .identity = identity, .flows = m_flows, .misses = m_misses, .admission = m_admission, .clock = m_clock, .halfOpenLimit = std::max(minimumHalfOpenFlows, m_settings.connection_limit() / halfOpenDivisor), .answersRefusals = service.mode == fleet::ServiceMode::Http });
-        m_path = std::make_unique<PacketPath>(m_loop, PacketPathOptions { .endpoint = parseEndpoint(m_settings.data_endpoint()), .identity = identity, .router = *m_router, .flows = m_flows, .tables = m_fleet.tables(), .metrics = m_metrics });
+        m_path = std::make_unique<PacketPath>(m_loop, PacketPathOptions { .endpoint = parseEndpoint(m_settings.data_endpoint()), .identity = identity, .router = *m_router, .flows = m_flows, .tables = m_fleet.tables(), .metrics = m_metrics, .trace = m_trace });
         m_stack = tcpstack::makeLwipStack(identity.service.address, m_loop, *m_path);
         if (service.mode == fleet::ServiceMode::Http)
             m_gate = requests::makeRequestGate(gateOptions(service, server), m_admission, m_clock, m_metrics, m_loop);
         m_server = std::make_unique<FlowServer>(m_loop, FlowServerOptions { .identity = identity, .server = server, .flows = m_flows, .admission = m_admission, .clock = m_clock, .metrics = m_metrics, .gate = m_gate.get(), .proxyProtocol = service.proxyProtocol, .keepalive = keepaliveFor(service) });
         m_watch = std::make_unique<ServerWatch>(m_loop, watchOptions(server), m_random, [this](const auto& change) { onHealth(change); });
+        m_report = std::make_unique<AgentReport>(m_loop, AgentReportOptions { .identity = identity, .service = service.name, .server = m_name, .flows = m_flows, .admission = m_admission, .tables = m_fleet.tables(), .trace = m_trace, .clock = m_clock });
         m_server->onServerRefused([this] { m_watch->noteRefused(); });
     }
 
@@ -196,6 +203,8 @@
             m_admission.restartWarmup();
             m_path->setMuted(false);
         }
+        if (change.drainStarted || change.drainEnded)
+            m_report->setDraining(change.drainStarted || m_leaving);
         if (change.drainStarted && m_gate)
             m_gate->drain();
         if (change.drainEnded && m_gate && !m_leaving)
@@ -222,6 +231,7 @@
     void startLeaving()
     {
         m_leaving = true;
+        m_report->setDraining(true);
         m_router->setLeaving(true);
         if (m_gate)
             m_gate->drain();
@@ -281,6 +291,7 @@
     FlowTable m_flows;
     MissLog m_misses { missLogFlows };
     admission::Admission m_admission;
+    admin::DecisionTrace m_trace { tracedDecisions };
     std::unique_ptr<ServingState> m_state;
     std::unique_ptr<FlowRouter> m_router;
     std::unique_ptr<PacketPath> m_path;
@@ -288,6 +299,7 @@
     std::unique_ptr<requests::IRequestGate> m_gate;
     std::unique_ptr<FlowServer> m_server;
     std::unique_ptr<ServerWatch> m_watch;
+    std::unique_ptr<AgentReport> m_report;
     std::thread m_loopThread;
 };
 
--- a/src/agent/internal/flowdecision.cpp
+++ b/src/agent/internal/flowdecision.cpp
@@ -32,6 +32,23 @@
 
 } // namespace
 
+std::string_view name(FlowAction action)
+{
+    switch (action) {
+    case FlowAction::Deliver:
+        return "deliver";
+    case FlowAction::Open:
+        return "open";
+    case FlowAction::PassOn:
+        return "pass_on";
+    case FlowAction::Reset:
+        return "reset";
+    case FlowAction::Drop:
+        return "drop";
+    }
+    return "unknown";
+}
+
 std::string_view name(FlowReason reason)
 {
     const auto index = static_cast<std::size_t>(reason);
--- a/src/agent/internal/packetpath.cpp
+++ b/src/agent/internal/packetpath.cpp
@@ -1,5 +1,6 @@
 #include "agent/internal/packetpath.h"
 
+#include "admin/decisiontrace.h"
 #include "agent/iflowrouter.h"
 #include "agent/iflowtable.h"
 #include "agent/internal/nexthop.h"
@@ -80,11 +81,30 @@
         m_options.tables.noteNewerVersion(message.route->tableVersion);
     const auto decision = m_options.router.decide(message, packet, { .table = *table, .confirmedAt = m_options.tables.confirmedAt() });
     countDecision(decision);
+    traceDecision(decision, packet, *table);
     for (const auto& key : decision.forgotten)
         stack.forget(key.caller);
     carryOut(decision, message, packet, stack);
 }
 
+void PacketPath::traceDecision(const FlowDecision& decision, const dataplane::PacketView& packet, const fleet::FleetTable& table)
+{
+    if (decision.reason == FlowReason::Held)
+        return;
+    schema::DecisionRecord record;
+    record.set_time_ms(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()));
+    record.set_flow(clementinesill::format(packet.key.caller));
+    record.set_decision(std::string(name(decision.action)));
+    record.set_reason(std::string(name(decision.reason)));
+    record.set_version(table.version());
+    const auto serverId = decision.action == FlowAction::PassOn ? decision.nextServerId : m_options.identity.serverId;
+    if (const auto* server = table.server(serverId))
+        record.set_server(server->name);
+    if (const auto* service = table.service(m_options.identity.serviceId))
+        record.set_service(service->name);
+    m_options.trace.note(std::move(record));
+}
+
 void PacketPath::carryOut(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet, tcpstack::ITcpStack& stack)
 {
     switch (decision.action) {
--- a/src/agent/internal/packetpath.h
+++ b/src/agent/internal/packetpath.h
@@ -9,14 +9,19 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <vector>
 
+namespace clementinesill::admin {
+class DecisionTrace;
+}
+
 namespace clementinesill::dataplane {
 struct GeneveMessage;
 struct PacketView;
 } // namespace clementinesill::dataplane
 
 namespace clementinesill::fleet {
+class FleetTable;
 class ITableSource;
-}
+} // namespace clementinesill::fleet
 
 namespace clementinesill::tcpstack {
 class ITcpStack;
@@ -36,6 +41,8 @@
     IFlowTable& flows;
     fleet::ITableSource& tables;
     MetricsRegistry& metrics;
+    // Takes every decision but to deliver a held flow's packet.
+    admin::DecisionTrace& trace;
 };
 
 // Takes the agent's datagrams from its socket, carries out what the router decides, and sends the stack's packets out.
@@ -56,6 +63,7 @@
     void drainSocket(tcpstack::ITcpStack& stack);
     void handle(std::span<const std::byte> datagram, tcpstack::ITcpStack& stack);
     void carryOut(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet, tcpstack::ITcpStack& stack);
+    void traceDecision(const FlowDecision& decision, const dataplane::PacketView& packet, const fleet::FleetTable& table);
     void countDecision(const FlowDecision& decision);
     void passOn(const FlowDecision& decision, dataplane::GeneveMessage& message, const dataplane::PacketView& packet);
     void tellBalancer(const dataplane::GeneveMessage& message, const dataplane::PacketView& packet);
--- a/src/agent/types/flowdecision.h
+++ b/src/agent/types/flowdecision.h
@@ -54,6 +54,7 @@
     StaleSyn,
 };
 
+std::string_view name(FlowAction action);
 std::string_view name(FlowReason reason);
 
 // What an agent does with a packet and why.
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -5,8 +5,8 @@
 #include "fleet/ifleetclient.h"
 #include "fleet/tableholder.h"
 #include "foundation/seededrandom.h"
-#include "settings.pb.h"
 #include "net/credentials.h"
+#include "settings.pb.h"
 
 #include <atomic>
 #include <condition_variable>
