--- a/scripts/experiments.py
+++ b/scripts/experiments.py
@@ -107,6 +107,7 @@
     seconds = 6 + step * len(drained) + 4
     try:
         system.start()
+        warmed(system)
         load = Load(system, seconds, {s.name: rate for s in size.services}, feeds=held, seed=SEED)
         load.sleep_until(5)
         balancer = 0
@@ -131,6 +132,7 @@
     figures = [
         figure("feeds broken", len(broken), f"of {len(held_feeds)}", 0),
         figure("requests failed", len(failed), f"of {len(sent)}", 0),
+        figure("feeds told to come back first", sum(1 for f in held_feeds if f["refusals"]), f"of {len(held_feeds)}"),
         figure("answers of another request", len(crossed), "", 0),
         figure("longest silence of a feed", max((f["longest_silence"] for f in held_feeds), default=0), "s"),
     ]
@@ -240,7 +242,7 @@
             system.start()
             warmed(system)
             rates = {s.name: capacity(system, s) * factor for s in size.services}
-            records = Load(system, seconds, rates, seed=seed, order_share=0).records()
+            records = Load(system, seconds, rates, seed=SEED, order_share=0).records()
         finally:
             system.close()
         window = seconds - 3
--- a/src/bench/loadmain.cpp
+++ b/src/bench/loadmain.cpp
@@ -130,49 +130,82 @@
         --m_open;
     }
 
+    // What one feed has shown so far.
+    struct FeedSeen {
+        std::string server;
+        std::uint64_t lines = 0;
+        bool gap = false;
+        // When the last line came, and the longest time without one, in seconds.
+        double last = 0;
+        double longestSilence = 0;
+        // The server refused and said when to come back.
+        bool refused = false;
+        double retryAfter = 1;
+    };
+
+    // A feed that is refused comes back when told; one that broke is not opened again.
     asio::awaitable<void> holdFeed(Target target, int index)
     {
         // Feeds open over the first seconds, as callers come one by one.
         co_await sleepUntil(0.02 * index);
         nlohmann::json record { { "kind", "feed" }, { "service", target.name }, { "start", elapsed() } };
-        std::string server;
-        std::uint64_t lines = 0;
-        bool gap = false;
-        double last = elapsed();
-        double longestSilence = 0;
+        FeedSeen seen { .last = elapsed() };
+        int refusals = 0;
         try {
-            asio::ip::tcp::socket socket(m_loop);
-            co_await socket.async_connect(endpointOf(target), asio::use_awaitable);
-            const auto request = "GET /feed HTTP/1.1\r\nHost: " + target.name + "\r\n\r\n";
-            co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
-            asio::streambuf buffer;
-            while (elapsed() < m_options.seconds) {
-                const auto line = co_await readLine(socket, buffer);
-                if (!line)
-                    break;
-                const auto space = line->find(' ');
-                if (space == std::string::npos || line->find("HTTP/") == 0 || line->find(':') != std::string::npos)
-                    continue;
-                const auto name = line->substr(0, space);
-                gap = gap || line->substr(space + 1) != std::to_string(lines) || (!server.empty() && server != name);
-                server = name;
-                ++lines;
-                longestSilence = std::max(longestSilence, elapsed() - last);
-                last = elapsed();
+            co_await followFeed(target, seen);
+            while (seen.refused && !seen.lines && elapsed() < m_options.seconds) {
+                ++refusals;
+                co_await sleepUntil(elapsed() + seen.retryAfter);
+                seen = { .last = elapsed() };
+                co_await followFeed(target, seen);
             }
         } catch (const boost::system::system_error& error) {
             record["error"] = error.code().message();
         }
-        longestSilence = std::max(longestSilence, elapsed() - last);
-        record["server"] = server;
-        record["lines"] = lines;
-        record["gap"] = gap;
-        record["longest_silence"] = longestSilence;
+        seen.longestSilence = std::max(seen.longestSilence, elapsed() - seen.last);
+        record["refusals"] = refusals;
+        record["server"] = seen.server;
+        record["lines"] = seen.lines;
+        record["gap"] = seen.gap;
+        record["longest_silence"] = seen.longestSilence;
         record["end"] = elapsed();
-        record["whole"] = !record.contains("error") && elapsed() >= m_options.seconds && !gap && lines > 0;
+        record["whole"] = !record.contains("error") && elapsed() >= m_options.seconds && !seen.gap && seen.lines > 0;
         write(record);
     }
 
+    asio::awaitable<void> followFeed(const Target& target, FeedSeen& seen)
+    {
+        asio::ip::tcp::socket socket(m_loop);
+        co_await socket.async_connect(endpointOf(target), asio::use_awaitable);
+        const auto request = "GET /feed HTTP/1.1\r\nHost: " + target.name + "\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+        asio::streambuf buffer;
+        while (elapsed() < m_options.seconds) {
+            const auto line = co_await readLine(socket, buffer);
+            if (!line)
+                co_return;
+            takeLine(*line, seen);
+        }
+    }
+
+    void takeLine(const std::string& line, FeedSeen& seen)
+    {
+        constexpr std::string_view retryAfter = "Retry-After: ";
+        if (line.starts_with("HTTP/1.1 "))
+            seen.refused = !line.starts_with("HTTP/1.1 200");
+        if (line.starts_with(retryAfter))
+            seen.retryAfter = std::stod(line.substr(retryAfter.size()));
+        const auto space = line.find(' ');
+        if (seen.refused || space == std::string::npos || line.starts_with("HTTP/") || line.find(':') != std::string::npos)
+            return;
+        const auto name = line.substr(0, space);
+        seen.gap = seen.gap || line.substr(space + 1) != std::to_string(seen.lines) || (!seen.server.empty() && seen.server != name);
+        seen.server = name;
+        ++seen.lines;
+        seen.longestSilence = std::max(seen.longestSilence, elapsed() - seen.last);
+        seen.last = elapsed();
+    }
+
     // The next line without its end; nothing once the test's time is over.
     asio::awaitable<std::optional<std::string>> readLine(asio::ip::tcp::socket& socket, asio::streambuf& buffer)
     {
--- a/src/requests/internal/httprules.cpp
+++ b/src/requests/internal/httprules.cpp
@@ -23,11 +23,6 @@
     return { text.data(), text.size() };
 }
 
-boost::beast::string_view beastView(std::string_view text)
-{
-    return { text.data(), text.size() };
-}
-
 std::string_view trim(std::string_view text)
 {
     const auto first = text.find_first_not_of(" \t");
@@ -86,6 +81,11 @@
 
 } // namespace
 
+boost::beast::string_view beastView(std::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
 bool isChunked(const http::fields& fields)
 {
     return boost::beast::iequals(beastView(trim(view(fields[http::field::transfer_encoding]))), "chunked");
--- a/src/requests/internal/httprules.h
+++ b/src/requests/internal/httprules.h
@@ -33,6 +33,9 @@
 // Checks an answer's framing in the same way.
 bool isAnswerFramed(const AnswerHeader& header);
 
+// The same text for the interfaces of Boost.Beast, whose string view is a type of its own.
+boost::beast::string_view beastView(std::string_view text);
+
 // Order or Read; a feed shows only in its answer.
 RequestClass classify(const RequestHeader& header);
 
--- a/src/requests/internal/requesttask.h
+++ b/src/requests/internal/requesttask.h
@@ -11,6 +11,9 @@
 
 namespace clementinesill::requests {
 
+// When a caller may come back after a failure that says nothing of how long it will last.
+constexpr std::chrono::seconds failureRetryAfter { 1 };
+
 // Carries one request from its header to its outcome: admission, exchanges with the server, answer.
 class RequestTask {
 public:
@@ -68,6 +71,9 @@
     Duration timeLeft() const;
     void record();
 
+    // Bytes of a body that are held at once.
+    static constexpr std::size_t bodyPartBytes = 16384;
+
     GateState& m_gate;
     CallerInput& m_input;
     CallerOutput& m_output;
