--- a/scripts/experiments.py
+++ b/scripts/experiments.py
@@ -87,6 +87,11 @@
     return total
 
 
+def agent_packets(system):
+    """Packets that agents delivered and packets that they passed on, so far."""
+    return [metric_sum(system, "agent", "agent_packets_total", f'reason="{reason}"') or 0 for reason in ("held", "not_held")]
+
+
 def deployment(context, size, **options):
     return d.Deployment(context.build, pathlib.Path("var") / f"bench-{size.name}", size, seed=SEED, **options)
 
@@ -108,6 +113,7 @@
     try:
         system.start()
         warmed(system)
+        before = agent_packets(system)
         load = Load(system, seconds, {s.name: rate for s in size.services}, feeds=held, seed=SEED)
         load.sleep_until(5)
         balancer = 0
@@ -120,8 +126,7 @@
             load.sleep_until(5 + step * (number + 1))
             system.operate("drain", spec.name, "--resume")
         records = load.records()
-        delivered = metric_sum(system, "agent", "agent_packets_total", 'reason="held"')
-        passed_on = metric_sum(system, "agent", "agent_packets_total", 'reason="not_held"')
+        delivered, passed_on = (after - earlier for after, earlier in zip(agent_packets(system), before))
     finally:
         system.close()
     held_feeds = feeds(records)
