Tell flows of a reused port apart within two windows

Cause: after a heavy load every port of the stand-in's callers is used again. Both TCP stacks count their initial sequence numbers up, so a new flow's numbers came within 1 MiB of those of an ended flow of the same key, which another agent kept for its TIME_WAIT: that agent took the new flow's packet from a balancer with an old cache entry, and its stack reset the caller. Ruled out: ports running out in the stand-in (its log is empty), refusals (no 503), a dead process (none). Change: a packet belongs to a flow if it lies within 128 KB, two windows of the stack, on both sides. Test SequenceWindow, seen failing with 1 MiB.

--- a/src/agent/internal/sequencewindow.h
+++ b/src/agent/internal/sequencewindow.h
@@ -12,8 +12,9 @@
 
 // Arithmetic on TCP sequence numbers, which wrap around (RFC 9293, 3.4).
 
-// Sequence numbers that a live connection's packets may be apart: more than any window or retransmission spans.
-constexpr std::int32_t sequenceWindowBytes = 1 << 20;
+// Sequence numbers that a live connection's packets may be apart: two of the TCP stack's windows of 64 KB, one for what is
+// under way and one for what is sent again.
+constexpr std::int32_t sequenceWindowBytes = 1 << 17;
 
 // How far to lies behind from; negative if it lies before.
 constexpr std::int32_t sequenceDistance(std::uint32_t from, std::uint32_t to)
