Send datagrams of two parts through one function

Cause: the agent's packet path and the stand-in fabric filled the same msghdr from header, packet and target, line for line. Ruled out: PacketBatch of the balancer, which sends many datagrams at once from its own buffers. Change: net::sendDatagram serves both. Behaviour as before.

--- a/src/agent/internal/packetpath.cpp
+++ b/src/agent/internal/packetpath.cpp
@@ -168,14 +168,7 @@
         return;
     std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
     const auto headerBytes = dataplane::encodeGeneveHeader(message, header);
-    std::array<iovec, 2> parts { iovec { .iov_base = header.data(), .iov_len = headerBytes }, iovec { .iov_base = const_cast<std::byte*>(packet.data()), .iov_len = packet.size() } };
-    sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(target.port), .sin_addr = { htonl(target.address) }, .sin_zero = {} };
-    msghdr datagram {};
-    datagram.msg_name = &address;
-    datagram.msg_namelen = sizeof(address);
-    datagram.msg_iov = parts.data();
-    datagram.msg_iovlen = parts.size();
-    if (sendmsg(m_socket.native_handle(), &datagram, 0) >= 0)
+    if (net::sendDatagram(m_socket.native_handle(), std::span(header).first(headerBytes), packet, target))
         ++m_sent;
 }
 
--- a/src/framework/net/internal/udpsocket.cpp
+++ b/src/framework/net/internal/udpsocket.cpp
@@ -2,6 +2,7 @@
 
 #include "foundation/error.h"
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <netinet/in.h>
@@ -50,4 +51,16 @@
     return socket;
 }
 
+bool sendDatagram(int socket, std::span<const std::byte> header, std::span<const std::byte> payload, const Endpoint& target)
+{
+    std::array<iovec, 2> parts { iovec { .iov_base = const_cast<std::byte*>(header.data()), .iov_len = header.size() }, iovec { .iov_base = const_cast<std::byte*>(payload.data()), .iov_len = payload.size() } };
+    sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(target.port), .sin_addr = { htonl(target.address) }, .sin_zero = {} };
+    msghdr datagram {};
+    datagram.msg_name = &address;
+    datagram.msg_namelen = sizeof(address);
+    datagram.msg_iov = parts.data();
+    datagram.msg_iovlen = parts.size();
+    return sendmsg(socket, &datagram, 0) >= 0;
+}
+
 } // namespace clementinesill::net
--- a/src/framework/net/udpsocket.h
+++ b/src/framework/net/udpsocket.h
@@ -3,6 +3,8 @@
 #include "foundation/types/endpoint.h"
 
 #include <chrono>
+#include <cstddef>
+#include <span>
 
 namespace clementinesill::net {
 
@@ -20,4 +22,7 @@
 // Throws Error: AddressInUse, or Network.
 int openUdpSocket(const UdpSocketOptions& options);
 
+// Sends one datagram made of two parts, without copying them; false if the kernel did not take it.
+bool sendDatagram(int socket, std::span<const std::byte> header, std::span<const std::byte> payload, const Endpoint& target);
+
 } // namespace clementinesill::net
--- a/src/standins/fabricmain.cpp
+++ b/src/standins/fabricmain.cpp
@@ -50,15 +50,7 @@
     {
         std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
         const auto headerBytes = dataplane::encodeGeneveHeader({}, header);
-        const auto target = chooseBalancer();
-        std::array<iovec, 2> parts { iovec { .iov_base = header.data(), .iov_len = headerBytes }, iovec { .iov_base = const_cast<std::byte*>(packet.data()), .iov_len = packet.size() } };
-        sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(target.port), .sin_addr = { htonl(target.address) }, .sin_zero = {} };
-        msghdr datagram {};
-        datagram.msg_name = &address;
-        datagram.msg_namelen = sizeof(address);
-        datagram.msg_iov = parts.data();
-        datagram.msg_iovlen = parts.size();
-        sendmsg(m_socket.native_handle(), &datagram, 0);
+        net::sendDatagram(m_socket.native_handle(), std::span(header).first(headerBytes), packet, chooseBalancer());
     }
 
     asio::awaitable<void> run(tcpstack::ITcpStack& stack)
