--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -10,8 +10,12 @@
 #include "foundation/systemclock.h"
 #include "operators/settings.h"
 #include "operators/types/exitcode.h"
+#include "passthrough/passthroughmodules.h"
+#include "platform/platform.h"
+#include "platform/platformpacket.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <google/protobuf/util/message_differencer.h>
 #include <iostream>
@@ -43,7 +47,7 @@
 void startLog(const schema::DaemonSettings& settings)
 {
     const auto& options = settings.log();
-    configureLog({ .level = parseLogLevel(options.level()), .json = wantsJson(options), .file = options.file(), .daemon = settings.name() });
+    configureLog({ .level = parseLogLevel(options.level()), .json = wantsJson(options), .file = options.file(), .standardOutput = options.standard_output(), .daemon = settings.name() });
 }
 
 // The log level changes while the daemon runs; any other change waits for a restart, and the log says so.
@@ -70,10 +74,42 @@
         reload(path, settings);
 }
 
-std::unique_ptr<IRoleModule> makeRole(const schema::DaemonSettings& settings, fleet::IFleetClient* client, MetricsRegistry& metrics)
+std::vector<std::string> seedControllers(const schema::DaemonSettings& settings)
 {
-    if (settings.has_controller())
-        return control::makeControllerModule(settings, metrics);
+    std::vector<std::string> endpoints;
+    for (const auto& seed : settings.discovery().seeds())
+        endpoints.push_back(format(Endpoint { .address = parseEndpoint(seed).address, .port = static_cast<std::uint16_t>(settings.discovery().port()) }));
+    return endpoints;
+}
+
+// The seeds may change in the file without a signal, so it is read each time. Empty if the settings name the controllers.
+fleet::ControllerSource controllerSource(const std::string& path, const schema::DaemonSettings& settings)
+{
+    if (!settings.has_discovery())
+        return {};
+    return [path, settings] {
+        try {
+            return seedControllers(operators::loadDaemonSettings(path));
+        } catch (const Error& error) {
+            log(LogLevel::Warn, "seeds_not_read", { { logkey::reason, error.problem() }, { logkey::remedy, error.remedy() } });
+            return seedControllers(settings);
+        }
+    };
+}
+
+std::unique_ptr<IRoleModule> makeRole(const schema::DaemonSettings& settings, const fleet::ControllerSource& controllers, fleet::IFleetClient* client, MetricsRegistry& metrics)
+{
+    static const platform::PlatformPacket format;
+    if (settings.has_controller()) {
+        control::ControllerModuleOptions options { .seeds = controllers };
+        if (settings.controller().has_pass_through())
+            options.operatorListener = platform::operatorListener();
+        return control::makeControllerModule(settings, metrics, options);
+    }
+    if (settings.balancer().has_pass_through())
+        return passthrough::makePassThroughBalancer(settings, *client, format, platform::readyListener(), metrics);
+    if (settings.agent().has_pass_through())
+        return passthrough::makePassThroughAgent(settings, *client, format, platform::readyListener(), platform::beatListener(), metrics);
     if (settings.has_balancer())
         return dataplane::makeBalancerModule(settings, *client, metrics);
     return agent::makeAgentModule(settings, *client, metrics);
@@ -87,12 +123,13 @@
     const SystemClock clock;
     MetricsRegistry metrics;
     admin::AdminPages pages(settings, metrics, clock);
+    const auto controllers = controllerSource(path, settings);
     std::unique_ptr<fleet::IFleetClient> client;
     if (!settings.has_controller()) {
-        client = fleet::makeFleetClient(settings);
+        client = fleet::makeFleetClient(settings, controllers);
         client->start();
     }
-    const auto role = makeRole(settings, client.get(), metrics);
+    const auto role = makeRole(settings, controllers, client.get(), metrics);
     std::unique_ptr<admin::AdminServer> adminServer;
     if (settings.has_admin())
         adminServer = std::make_unique<admin::AdminServer>(settings.admin().endpoint(), pages);
@@ -106,6 +143,20 @@
     if (client)
         client->stop();
     log(LogLevel::Info, "daemon_stopped");
+    // Nothing is left to write. The libraries' own threads are not waited for: on the users' platform the process hangs in
+    // their exit handlers until it is killed.
+    std::quick_exit(static_cast<int>(ExitCode::Ok));
+}
+
+// Empty if the command line names no settings file.
+std::string settingsPath(const cxxopts::ParseResult& arguments)
+{
+    if (arguments.count("settings"))
+        return arguments["settings"].as<std::string>();
+    if (!arguments.count("settings-variable"))
+        return {};
+    const auto* path = std::getenv(arguments["settings-variable"].as<std::string>().c_str());
+    return path ? path : "";
 }
 
 int run(int argc, char** argv)
@@ -115,6 +166,7 @@
                                                 "Exit codes: 0 ended after a drain, or settings valid; 1 failed; 2 wrong command line;\n"
                                                 "3 settings wrong; 5 no controller reached.\n");
     options.add_options()("check", "check the settings and exit")("h,help", "print this help")("settings", "settings file", cxxopts::value<std::string>());
+    options.add_options()("settings-variable", "environment variable that holds the path of the settings file", cxxopts::value<std::string>());
     options.parse_positional("settings");
     options.positional_help("SETTINGS");
     const auto arguments = options.parse(argc, argv);
@@ -122,11 +174,11 @@
         std::cout << options.help();
         return static_cast<int>(ExitCode::Ok);
     }
-    if (!arguments.count("settings")) {
+    const auto path = settingsPath(arguments);
+    if (path.empty()) {
         std::cerr << options.help();
         return static_cast<int>(ExitCode::Usage);
     }
-    const auto path = arguments["settings"].as<std::string>();
     const auto settings = operators::loadDaemonSettings(path, { .tryAddresses = true });
     if (arguments.count("check")) {
         std::cout << path << ": valid\n";
--- a/src/control/controllermodule.h
+++ b/src/control/controllermodule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/types/controllermoduleoptions.h"
 #include "foundation/irolemodule.h"
 
 #include <memory>
@@ -14,6 +15,6 @@
 namespace clementinesill::control {
 
 // Wires the controller role: the replicated log and the gRPC services over it.
-std::unique_ptr<IRoleModule> makeControllerModule(const schema::DaemonSettings& settings, MetricsRegistry& metrics);
+std::unique_ptr<IRoleModule> makeControllerModule(const schema::DaemonSettings& settings, MetricsRegistry& metrics, const ControllerModuleOptions& options = {});
 
 } // namespace clementinesill::control
--- a/src/control/fleetstate.h
+++ b/src/control/fleetstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/configdocument.h"
 #include "control/ifleetstate.h"
 #include "control/requesthistory.h"
 #include "control/serverregistry.h"
@@ -27,6 +28,7 @@
 
     schema::Table table() const;
     const std::vector<schema::ConfigFile>& files() const { return m_files; }
+    const ConfigDocument& document() const { return m_document; }
     // Newest events, oldest first.
     const std::deque<schema::Event>& events() const { return m_events; }
     const std::map<std::string, schema::Zone>& zones() const { return m_zones; }
@@ -46,8 +48,10 @@
     CommandResult leave(const schema::Command& command);
     CommandResult transition(const schema::Command& command);
     CommandResult noteMembership(const schema::Command& command);
+    CommandResult changeDocument(const schema::Command& command);
+    CommandResult confirmRead(const schema::Command& command);
 
-    void changeServices(const schema::ConfigChange& config);
+    void changeServices(const google::protobuf::RepeatedPtrField<schema::Service>& services);
     void changeZones(const schema::ConfigChange& config);
     void setZone(const std::string& name, schema::ZoneState state);
     void noteServers(const std::vector<std::uint32_t>& ids);
@@ -67,6 +71,7 @@
     std::vector<schema::ConfigFile> m_files;
     // What the files say about each zone.
     std::map<std::string, schema::ZoneState> m_fileZones;
+    ConfigDocument m_document;
     std::map<std::uint32_t, schema::Service> m_services;
     std::map<std::string, schema::Zone> m_zones;
     ServerRegistry m_servers;
--- a/src/control/icommandlog.h
+++ b/src/control/icommandlog.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <string>
+#include <vector>
 
 namespace clementinesill::schema {
 class Command;
@@ -30,6 +31,9 @@
     // gRPC endpoint of the leader, empty if unknown.
     virtual std::string leaderEndpoint() const = 0;
 
+    // gRPC endpoints of the controllers that vote.
+    virtual std::vector<std::string> members() const = 0;
+
     // Fills in this controller's part of the log, and what it knows of the others.
     virtual void describe(schema::StatusResponse& response) const = 0;
 };
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -60,6 +60,8 @@
         if (decision.action == FeedDecision::Action::Send) {
             auto update = std::make_shared<schema::TableUpdate>(*decision.update);
             update->set_lease_ms(watchLeaseMs);
+            for (const auto& endpoint : m_log.members())
+                update->add_controllers(endpoint);
             if (!co_await writer->write(std::move(update)))
                 break;
             session.version = decision.version;
@@ -171,12 +173,56 @@
         fill(*response.mutable_outcome(), { .code = schema::Outcome::CODE_INVALID, .message = "the request has no request id; give each change one of its own" });
         co_return;
     }
+    co_await submit(std::move(command), response);
+}
+
+awaitable<void> Controller::submit(schema::Command command, schema::ChangeResponse& response)
+{
     const auto result = co_await m_log.submit(std::move(command));
     fill(*response.mutable_outcome(), result);
     response.set_revision(result.revision);
     response.set_version(result.version);
 }
 
+// The state holds accepted commands only, so a document that it supersedes is known to be overtaken, whoever leads.
+awaitable<void> Controller::putDocument(const schema::DocumentChange& document, schema::ChangeResponse& response)
+{
+    if (!m_state.document().supersedes(document.version())) {
+        fill(*response.mutable_outcome(), {});
+        response.set_version(m_state.version());
+        co_return;
+    }
+    auto command = this->command();
+    *command.mutable_document() = document;
+    co_await submit(std::move(command), response);
+}
+
+awaitable<DocumentRead> Controller::readDocument()
+{
+    auto barrier = command();
+    barrier.mutable_read_barrier();
+    DocumentRead read;
+    fill(read.outcome, co_await m_log.submit(std::move(barrier)));
+    if (read.outcome.code() != schema::Outcome::CODE_OK)
+        co_return read;
+    read.version = m_state.document().version();
+    read.text = m_state.document().text();
+    if (!read.version) {
+        read.outcome.set_code(schema::Outcome::CODE_NOT_FOUND);
+        read.outcome.set_message("no configuration was accepted yet; send one");
+    }
+    co_return read;
+}
+
+awaitable<void> Controller::orderZone(const std::string& zone, bool out, schema::ChangeResponse& response)
+{
+    auto command = this->command();
+    command.mutable_zone()->set_zone(zone);
+    command.mutable_zone()->set_state(out ? schema::ZONE_STATE_OUT : schema::ZONE_STATE_IN);
+    command.mutable_zone()->set_create(true);
+    co_await submit(std::move(command), response);
+}
+
 awaitable<void> Controller::readConfig(schema::ReadConfigResponse& response)
 {
     if (refuseUnlessLeading(*response.mutable_outcome()))
--- a/src/control/internal/controller.h
+++ b/src/control/internal/controller.h
@@ -4,6 +4,7 @@
 #include "control/flapdamping.h"
 #include "control/fleetstate.h"
 #include "control/icommandlog.h"
+#include "control/iversionedconfig.h"
 #include "control/internal/streamwriter.h"
 #include "control/leasetracker.h"
 #include "control/tablefeed.h"
@@ -21,7 +22,7 @@
 
 // What the controllers answer to daemons and operators. One coroutine runs for each call; all of them, and everything
 // here, stay on the control thread.
-class Controller {
+class Controller final : public IVersionedConfig {
 public:
     using Watcher = StreamWriter<schema::TableUpdate>;
     using EventWriter = StreamWriter<schema::Event>;
@@ -36,6 +37,9 @@
     boost::asio::awaitable<void> applyFiles(const schema::ApplyRequest& request, schema::ChangeResponse& response);
     boost::asio::awaitable<void> setZone(const schema::SetZoneRequest& request, schema::ChangeResponse& response);
     boost::asio::awaitable<void> drainServer(const schema::DrainServerRequest& request, schema::ChangeResponse& response);
+    boost::asio::awaitable<void> putDocument(const schema::DocumentChange& document, schema::ChangeResponse& response) override;
+    boost::asio::awaitable<DocumentRead> readDocument() override;
+    boost::asio::awaitable<void> orderZone(const std::string& zone, bool out, schema::ChangeResponse& response) override;
     boost::asio::awaitable<void> readConfig(schema::ReadConfigResponse& response);
     boost::asio::awaitable<void> status(schema::StatusResponse& response);
     boost::asio::awaitable<void> events(std::shared_ptr<EventWriter> writer, schema::EventsRequest request);
@@ -58,6 +62,7 @@
 
     schema::Command command(const std::string& operatorName = {}, const std::string& requestId = {}) const;
     boost::asio::awaitable<void> change(schema::Command command, schema::ChangeResponse& response);
+    boost::asio::awaitable<void> submit(schema::Command command, schema::ChangeResponse& response);
     void fill(schema::Outcome& outcome, const CommandResult& result) const;
     bool refuseUnlessLeading(schema::Outcome& outcome) const;
     void describeServers(schema::StatusResponse& response) const;
--- a/src/control/internal/controllermodule.cpp
+++ b/src/control/internal/controllermodule.cpp
@@ -7,10 +7,12 @@
 #include "foundation/log.h"
 #include "foundation/systemclock.h"
 #include "net/credentials.h"
+#include "net/ilistener.h"
 #include "settings.pb.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
+#include <algorithm>
 #include <thread>
 
 namespace clementinesill::control {
@@ -23,12 +25,31 @@
 // Snapshots travel in one message.
 constexpr int maximumMessageBytes = 256 << 20;
 
-ReplicatedLogOptions logOptions(const schema::DaemonSettings& settings)
+// Two may be lost at once, the disks with them.
+constexpr int discoveredMembers = 5;
+
+// Controllers that find each other are named by their endpoints. The seeds form the group at the fleet's first start; any
+// other controller joins.
+void discoverGroup(ReplicatedLogOptions& options, const schema::DaemonSettings& settings, std::vector<std::string> seeds)
+{
+    options.name = options.endpoint;
+    options.memberLimit = discoveredMembers;
+    std::sort(seeds.begin(), seeds.end());
+    options.mayForm = settings.discovery().first_start() && std::binary_search(seeds.begin(), seeds.end(), options.endpoint);
+    if (!options.mayForm)
+        return;
+    for (const auto& seed : seeds)
+        options.peers.push_back({ .name = seed, .endpoint = seed });
+}
+
+ReplicatedLogOptions logOptions(const schema::DaemonSettings& settings, const ControllerModuleOptions& module)
 {
     const auto& controller = settings.controller();
     ReplicatedLogOptions options { .name = settings.name(), .endpoint = controller.endpoint() };
     for (const auto& peer : controller.peers())
         options.peers.push_back({ .name = peer.name(), .endpoint = peer.endpoint() });
+    if (module.seeds)
+        discoverGroup(options, settings, module.seeds());
     if (controller.snapshot_entries())
         options.snapshotEntries = controller.snapshot_entries();
     return options;
@@ -43,11 +64,13 @@
 
 class ControllerModule final : public IRoleModule {
 public:
-    explicit ControllerModule(const schema::DaemonSettings& settings)
-        : m_settings(settings.controller())
+    ControllerModule(const schema::DaemonSettings& settings, const ControllerModuleOptions& module)
+        : m_daemon(settings)
+        , m_settings(settings.controller())
+        , m_makeOperatorListener(module.operatorListener)
         , m_credentials(net::daemonCredentials(settings))
         , m_work(boost::asio::make_work_guard(m_context))
-        , m_log(m_context, logOptions(settings), dataFolder(settings), m_state, m_credentials.channel(), m_clock)
+        , m_log(m_context, logOptions(settings, module), dataFolder(settings), m_state, m_credentials.channel(), m_clock, module.seeds)
         , m_controller(m_context, options(settings), m_state, m_log, m_clock)
         , m_fleetService(m_context, m_controller)
         , m_operatorService(m_context, m_controller)
@@ -74,6 +97,8 @@
         boost::asio::co_spawn(
             m_context, [this] { return m_controller.superviseServers(); }, boost::asio::detached);
         m_thread = std::thread([this] { m_context.run(); });
+        if (m_makeOperatorListener)
+            m_operatorListener = m_makeOperatorListener(m_context, m_controller, m_daemon);
         log(LogLevel::Info, "controller_serving", { { .key = "endpoint", .value = m_settings.endpoint() } });
     }
 
@@ -81,6 +106,8 @@
     {
         if (!m_thread.joinable())
             return;
+        if (m_operatorListener)
+            m_operatorListener->stop();
         boost::asio::post(m_context, [this] {
             m_controller.stop();
             m_log.stop();
@@ -97,7 +124,9 @@
         return { .serverLease = std::chrono::milliseconds(lease ? lease : defaultServerLeaseMs) };
     }
 
+    schema::DaemonSettings m_daemon;
     schema::ControllerSettings m_settings;
+    OperatorListenerFactory m_makeOperatorListener;
     net::Credentials m_credentials;
     SystemClock m_clock;
     FleetState m_state;
@@ -109,14 +138,15 @@
     OperatorService m_operatorService;
     PeerService m_peerService;
     std::unique_ptr<grpc::Server> m_server;
+    std::unique_ptr<net::IListener> m_operatorListener;
     std::thread m_thread;
 };
 
 } // namespace
 
-std::unique_ptr<IRoleModule> makeControllerModule(const schema::DaemonSettings& settings, MetricsRegistry&)
+std::unique_ptr<IRoleModule> makeControllerModule(const schema::DaemonSettings& settings, MetricsRegistry&, const ControllerModuleOptions& options)
 {
-    return std::make_unique<ControllerModule>(settings);
+    return std::make_unique<ControllerModule>(settings, options);
 }
 
 } // namespace clementinesill::control
--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -96,6 +96,7 @@
     m_role = ReplicaRole::Leader;
     m_leaderEndpoint = m_options.endpoint;
     m_leadingSince = m_clock.now();
+    m_joined.clear();
     m_replication.start(m_log.lastIndex());
     // Entries of earlier terms are committed by committing one of this term.
     push({}, false);
@@ -178,7 +179,7 @@
 
 bool ReplicatedLog::formsGroup() const
 {
-    return !formed() && (m_options.peers.empty() || m_options.peers.front().name == m_options.name);
+    return m_options.mayForm && !formed() && (m_options.peers.empty() || m_options.peers.front().name == m_options.name);
 }
 
 schema::DescribeResponse ReplicatedLog::onDescribe(const schema::DescribeRequest&)
--- a/src/control/internal/fleetstate.cpp
+++ b/src/control/internal/fleetstate.cpp
@@ -65,6 +65,10 @@
         return &FleetState::transition;
     case schema::Command::kMembership:
         return &FleetState::noteMembership;
+    case schema::Command::kDocument:
+        return &FleetState::changeDocument;
+    case schema::Command::kReadBarrier:
+        return &FleetState::confirmRead;
     case schema::Command::CHANGE_NOT_SET:
         return nullptr;
     }
@@ -133,7 +137,7 @@
     if (command.base_revision() != m_revision)
         return conflict(command);
     const auto& config = command.config();
-    changeServices(config);
+    changeServices(config.services());
     changeZones(config);
     m_files.assign(config.files().begin(), config.files().end());
     ++m_revision;
@@ -149,17 +153,17 @@
             + " is in force; read the configuration, make the change again and send it under a new request id");
 }
 
-void FleetState::changeServices(const schema::ConfigChange& config)
+void FleetState::changeServices(const google::protobuf::RepeatedPtrField<schema::Service>& services)
 {
     std::map<std::string, schema::Service> wanted;
-    for (const auto& service : config.services())
+    for (const auto& service : services)
         wanted[service.name()] = service;
     for (auto place = m_services.begin(); place != m_services.end();) {
         const auto found = wanted.find(place->second.name());
         if (found == wanted.end()) {
             noteServers(m_servers.removeService(place->first));
             m_change.services.insert(place->first);
-            addEvent("service_removed", place->second.name(), "no file names it");
+            addEvent("service_removed", place->second.name(), "the configuration no longer names it");
             place = m_services.erase(place);
             continue;
         }
@@ -176,10 +180,31 @@
         service.set_id(m_nextServiceId);
         m_change.services.insert(m_nextServiceId);
         m_services[m_nextServiceId++] = service;
-        addEvent("service_added", name, "a file names it");
+        addEvent("service_added", name, "the configuration names it");
     }
 }
 
+CommandResult FleetState::changeDocument(const schema::Command& command)
+{
+    const auto& change = command.document();
+    if (!m_document.supersedes(change.version()))
+        return {};
+    changeServices(change.services());
+    std::vector<std::uint32_t> ids;
+    for (const auto& service : change.services())
+        ids.push_back(serviceNamed(service.name())->id());
+    m_change.routes = m_document.replace(change, ids);
+    m_change.document = true;
+    ++m_revision;
+    addEvent("document_accepted", "version " + std::to_string(change.version()), std::to_string(change.routes_size()) + " routes");
+    return {};
+}
+
+CommandResult FleetState::confirmRead(const schema::Command&)
+{
+    return {};
+}
+
 // A zone's state follows the files only where a file changes it, so that an unrelated change never brings a zone back.
 void FleetState::changeZones(const schema::ConfigChange& config)
 {
@@ -223,7 +248,7 @@
     const auto& change = command.zone();
     if (command.base_revision() && command.base_revision() != m_revision)
         return conflict(command);
-    if (!m_zones.contains(change.zone()))
+    if (!change.create() && !m_zones.contains(change.zone()))
         return refused(schema::Outcome::CODE_NOT_FOUND, "no zone is named '" + change.zone() + "'; name one that the operators' files or a server's announcement give");
     setZone(change.zone(), change.state());
     ++m_revision;
@@ -383,6 +408,14 @@
         else
             *delta.add_servers() = record->server();
     }
+    for (const auto& endpoint : change->routes) {
+        const auto found = m_document.routes().find(endpoint);
+        if (found == m_document.routes().end())
+            delta.add_removed_routes(endpoint);
+        else
+            *delta.add_routes() = found->second;
+    }
+    delta.set_document_version(m_document.version());
     return update;
 }
 
@@ -399,6 +432,9 @@
         if (!record.removed())
             *table.add_servers() = record.server();
     }
+    for (const auto& [endpoint, route] : m_document.routes())
+        *table.add_routes() = route;
+    table.set_document_version(m_document.version());
     return table;
 }
 
@@ -427,6 +463,7 @@
         *snapshot.add_requests() = record;
     for (const auto& event : m_events)
         *snapshot.add_events() = event;
+    m_document.save(snapshot);
     return snapshot;
 }
 
@@ -452,6 +489,7 @@
     for (const auto& record : snapshot.requests())
         m_requests.remember(record);
     m_events.assign(snapshot.events().begin(), snapshot.events().end());
+    m_document.restore(snapshot);
     m_history.reset(m_version);
     m_updates.clear();
 }
--- /dev/null
+++ b/src/control/internal/groupjoiner.cpp
@@ -0,0 +1,77 @@
+#include "control/internal/groupjoiner.h"
+
+#include "control/internal/peercall.h"
+#include "foundation/log.h"
+
+#include <algorithm>
+
+namespace clementinesill::control {
+
+namespace {
+
+using boost::asio::awaitable;
+
+// Time between two rounds; longer than an election takes, so that a group that elects is not asked in vain.
+constexpr auto joinInterval = std::chrono::milliseconds(1500);
+constexpr auto callTimeout = std::chrono::milliseconds(600);
+
+} // namespace
+
+GroupJoiner::GroupJoiner(boost::asio::io_context& context, const GroupJoinerOptions& options)
+    : m_context(context)
+    , m_options(options)
+    , m_wakeup(context)
+{
+}
+
+awaitable<void> GroupJoiner::run()
+{
+    while (!m_stopping) {
+        co_await m_wakeup.wait(joinInterval);
+        if (!m_stopping && !m_options.log.leaderHeard())
+            co_await askAll();
+    }
+}
+
+void GroupJoiner::stop()
+{
+    m_stopping = true;
+    m_wakeup.wake();
+}
+
+awaitable<void> GroupJoiner::askAll()
+{
+    schema::JoinRequest request;
+    request.set_name(m_options.name);
+    request.set_endpoint(m_options.endpoint);
+    for (const auto& target : targets()) {
+        const auto stub = peerStub(target, m_options.credentials);
+        const auto response = co_await callPeer<schema::JoinResponse>(m_context, *stub, &schema::Peers::Stub::async_interface::Join, request, callTimeout, m_stopping);
+        if (m_stopping || m_options.log.leaderHeard())
+            co_return;
+        if (!response)
+            continue;
+        if (response->accepted()) {
+            log(LogLevel::Info, "join_accepted", { { .key = "leader", .value = target } });
+            co_return;
+        }
+        m_hint = response->leader_endpoint();
+    }
+}
+
+std::vector<std::string> GroupJoiner::targets() const
+{
+    std::vector<std::string> found;
+    const auto add = [&](const std::string& endpoint) {
+        if (!endpoint.empty() && endpoint != m_options.endpoint && std::find(found.begin(), found.end(), endpoint) == found.end())
+            found.push_back(endpoint);
+    };
+    add(m_hint);
+    for (const auto& peer : m_options.log.peers())
+        add(peer.endpoint);
+    for (const auto& seed : m_options.seeds())
+        add(seed);
+    return found;
+}
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/internal/groupjoiner.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "control/internal/wakeup.h"
+#include "control/replicatedlog.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace grpc {
+class ChannelCredentials;
+}
+
+namespace clementinesill::control {
+
+// What a joiner works with. The references must outlive it.
+struct GroupJoinerOptions {
+    std::string name;
+    std::string endpoint;
+    ReplicatedLog& log;
+    // gRPC endpoints to ask first; called again for each round.
+    std::function<std::vector<std::string>()> seeds;
+    std::shared_ptr<grpc::ChannelCredentials> credentials;
+};
+
+// Asks the other controllers to be sent the log while no leader is heard.
+class GroupJoiner {
+public:
+    GroupJoiner(boost::asio::io_context& context, const GroupJoinerOptions& options);
+
+    // Runs until stop().
+    boost::asio::awaitable<void> run();
+
+    void stop();
+
+private:
+    boost::asio::awaitable<void> askAll();
+    std::vector<std::string> targets() const;
+
+    boost::asio::io_context& m_context;
+    GroupJoinerOptions m_options;
+    Wakeup m_wakeup;
+    std::string m_hint;
+    bool m_stopping = false;
+};
+
+} // namespace clementinesill::control
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -89,7 +89,7 @@
         return;
     m_commitIndex = held;
     // Followers learn at once what is committed.
-    for (const auto& peer : m_options.peers)
+    for (const auto& peer : peers())
         m_replication.peer(peer.name).nextHeartbeat = m_clock.now();
     applyCommitted();
 }
@@ -114,8 +114,8 @@
 {
     if (!leaseLive() || m_log.membershipIndex() > m_commitIndex)
         return;
-    for (const auto& peer : m_options.peers) {
-        if (peer.name != m_options.name && reviewPeer(peer))
+    for (const auto& peer : peers()) {
+        if (reviewPeer(peer))
             return;
     }
 }
@@ -132,15 +132,15 @@
     if (known) {
         if (!quorumWithout(peer.name))
             return false;
-        auto& members = *membership.mutable_members();
-        members.erase(std::remove_if(members.begin(), members.end(), [&](const auto& member) { return member.name() == peer.name; }), members.end());
-        log(LogLevel::Warn, "member_lost_data_folder", { { .key = "member", .value = peer.name } });
-        proposeMembership(membership);
+        removeMember(peer.name, "it lost its data folder");
         return true;
     }
     // A learner votes once it holds all that is committed.
-    if (progress.matchIndex < m_commitIndex)
+    const bool heard = progress.acknowledgedSend + m_options.shortestElectionTimeout > m_clock.now();
+    if (progress.matchIndex < m_commitIndex || !heard)
         return false;
+    if (membership.members_size() >= m_options.memberLimit)
+        return makeRoom();
     auto& added = *membership.add_members();
     added.set_name(peer.name);
     added.set_endpoint(peer.endpoint);
@@ -150,6 +150,31 @@
     return true;
 }
 
+// A group that is full gives the place of a member that is lost to a controller that waits. The member may be back later and
+// then waits in its turn.
+bool ReplicatedLog::makeRoom()
+{
+    const auto since = m_clock.now() - m_options.memberAbsence;
+    if (m_leadingSince > since)
+        return false;
+    for (const auto& member : m_log.membership()->members()) {
+        if (m_replication.activeSince(member, since) || !quorumWithout(member.name()))
+            continue;
+        removeMember(member.name(), "it was not heard for too long and another controller waits for its place");
+        return true;
+    }
+    return false;
+}
+
+void ReplicatedLog::removeMember(const std::string& name, const char* reason)
+{
+    auto membership = *m_log.membership();
+    auto& members = *membership.mutable_members();
+    members.erase(std::remove_if(members.begin(), members.end(), [&](const auto& member) { return member.name() == name; }), members.end());
+    log(LogLevel::Warn, "member_removed", { { .key = "member", .value = name }, { .key = "reason", .value = reason } });
+    proposeMembership(membership);
+}
+
 bool ReplicatedLog::quorumWithout(const std::string& name) const
 {
     const auto& members = m_log.membership()->members();
--- a/src/control/internal/peerlink.h
+++ b/src/control/internal/peerlink.h
@@ -34,16 +34,11 @@
 
     boost::asio::awaitable<Answer> send(const PeerMessage& message);
 
-    template <typename Request, typename Response>
-    using Method = void (schema::Peers::Stub::async_interface::*)(grpc::ClientContext*, const Request*, Response*, std::function<void(grpc::Status)>);
-
-    template <typename Response, typename Request>
-    boost::asio::awaitable<Answer> call(Method<Request, Response> method, const Request& request, std::chrono::milliseconds timeout);
-
     boost::asio::io_context& m_context;
     ReplicatedLog& m_log;
     ReplicaPeer m_peer;
     std::function<void()> m_answered;
+    std::shared_ptr<grpc::ChannelCredentials> m_credentials;
     std::unique_ptr<schema::Peers::Stub> m_stub;
     Wakeup m_wakeup;
     bool m_stopping = false;
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <algorithm>
 #include <utility>
 
 namespace clementinesill::control {
@@ -24,7 +25,7 @@
 
 } // namespace
 
-ReplicatedCommandLog::ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock)
+ReplicatedCommandLog::ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock, std::function<std::vector<std::string>()> seeds)
     : m_context(context)
     , m_options(options)
     , m_state(state)
@@ -34,12 +35,11 @@
     , m_failStop(m_storage)
     , m_machine(state, [this](std::uint64_t index, std::uint64_t term, const CommandResult& result) { onApplied(index, term, result); })
     , m_log(options, clock, m_random, m_failStop, m_machine)
+    , m_credentials(credentials)
     , m_tick(context)
 {
-    for (const auto& peer : options.peers) {
-        if (peer.name != options.name)
-            m_links.push_back(std::make_unique<PeerLink>(context, m_log, peer, credentials, [this] { afterEvent(); }));
-    }
+    if (seeds)
+        m_joiner = std::make_unique<GroupJoiner>(context, GroupJoinerOptions { .name = options.name, .endpoint = options.endpoint, .log = m_log, .seeds = std::move(seeds), .credentials = credentials });
 }
 
 void ReplicatedCommandLog::start(std::function<void()> changed)
@@ -47,16 +47,31 @@
     m_changed = std::move(changed);
     co_spawn(
         m_context, [this] { return tickLoop(); }, detached);
-    for (const auto& link : m_links)
+    linkPeers();
+    if (m_joiner)
+        co_spawn(
+            m_context, [this] { return m_joiner->run(); }, detached);
+}
+
+void ReplicatedCommandLog::linkPeers()
+{
+    for (const auto& peer : m_log.peers()) {
+        auto& link = m_links[peer.name];
+        if (link)
+            continue;
+        link = std::make_unique<PeerLink>(m_context, m_log, peer, m_credentials, [this] { afterEvent(); });
         co_spawn(
             m_context, [&link = *link] { return link.run(); }, detached);
+    }
 }
 
 void ReplicatedCommandLog::stop()
 {
     m_stopping = true;
     m_tick.wake();
-    for (const auto& link : m_links)
+    if (m_joiner)
+        m_joiner->stop();
+    for (const auto& [name, link] : m_links)
         link->stop();
     releaseWaiters();
 }
@@ -65,6 +80,7 @@
 {
     while (!m_stopping) {
         m_log.tick();
+        linkPeers();
         afterEvent();
         if (m_log.leaseLive() && !m_state.hashSeed() && !m_founding) {
             m_founding = true;
@@ -111,7 +127,7 @@
     boost::asio::post(m_context, [this] {
         m_flushing = false;
         m_log.flush();
-        for (const auto& link : m_links)
+        for (const auto& [name, link] : m_links)
             link->wake();
         afterEvent();
     });
@@ -151,11 +167,21 @@
     m_seenLeading = leading;
     m_seenCurrent = current;
     // What is committed goes to the followers at once.
-    for (const auto& link : m_links)
+    for (const auto& [name, link] : m_links)
         link->wake();
     m_changed();
 }
 
+std::vector<std::string> ReplicatedCommandLog::members() const
+{
+    std::vector<std::string> endpoints;
+    if (const auto* membership = m_log.entries().membership()) {
+        for (const auto& member : membership->members())
+            endpoints.push_back(member.endpoint());
+    }
+    return endpoints;
+}
+
 void ReplicatedCommandLog::describe(schema::StatusResponse& response) const
 {
     auto& self = *response.mutable_self();
@@ -168,12 +194,9 @@
     self.set_snapshot_index(m_log.entries().snapshot().last_index());
     self.set_lease_valid(leading());
     const auto* membership = m_log.entries().membership();
-    for (const auto& peer : m_options.peers) {
+    *response.add_controllers() = self;
+    for (const auto& peer : m_log.peers()) {
         auto& status = *response.add_controllers();
-        if (peer.name == m_options.name) {
-            status = self;
-            continue;
-        }
         status.set_id(peer.name);
         status.set_endpoint(peer.endpoint);
         status.set_role(peer.endpoint == m_log.leaderEndpoint() ? "leader" : "learner");
@@ -185,6 +208,7 @@
         if (found != m_log.replication().peers().end())
             status.set_last_index(found->second.matchIndex);
     }
+    std::sort(response.mutable_controllers()->begin(), response.mutable_controllers()->end(), [](const auto& left, const auto& right) { return left.id() < right.id(); });
 }
 
 } // namespace clementinesill::control
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -3,6 +3,7 @@
 #include "control/icommandlog.h"
 #include "control/internal/failstopstorage.h"
 #include "control/internal/fleetmachine.h"
+#include "control/internal/groupjoiner.h"
 #include "control/internal/peerlink.h"
 #include "control/internal/posixfilesystem.h"
 #include "control/internal/wakeup.h"
@@ -20,10 +21,11 @@
 // The replicated log of this controller with its disk and its peers. Used on the control thread only.
 class ReplicatedCommandLog final : public ICommandLog {
 public:
-    // changed is called after the state or the leadership may have changed. Throws Error (Storage).
-    ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock);
+    // seeds gives the gRPC endpoints of controllers to join; none if the settings name the group. Throws Error (Storage).
+    ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock, std::function<std::vector<std::string>()> seeds = {});
 
-    // Starts the coroutines of the log and of each peer.
+    // Starts the coroutines of the log and of each peer. changed is called after the state or the leadership may have
+    // changed.
     void start(std::function<void()> changed);
     void stop();
 
@@ -31,6 +33,7 @@
     bool leading() const override { return m_log.leaseLive(); }
     bool current() const override { return m_log.leaderHeard(); }
     std::string leaderEndpoint() const override { return m_log.leaderEndpoint(); }
+    std::vector<std::string> members() const override;
     void describe(schema::StatusResponse& response) const override;
 
     const ReplicatedLog& log() const { return m_log; }
@@ -56,6 +59,7 @@
     boost::asio::awaitable<void> foundFleet();
     void onApplied(std::uint64_t index, std::uint64_t term, const CommandResult& result);
     void flushSoon();
+    void linkPeers();
     void afterEvent();
     void releaseWaiters();
 
@@ -69,7 +73,11 @@
     FleetMachine m_machine;
     std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
     ReplicatedLog m_log;
-    std::vector<std::unique_ptr<PeerLink>> m_links;
+    std::shared_ptr<grpc::ChannelCredentials> m_credentials;
+    // By the peer's name.
+    std::map<std::string, std::unique_ptr<PeerLink>> m_links;
+    // Null if the settings name the group.
+    std::unique_ptr<GroupJoiner> m_joiner;
     Wakeup m_tick;
     std::function<void()> m_changed;
     bool m_stopping = false;
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -195,6 +195,33 @@
         m_log.compact(m_appliedIndex, m_machine.snapshot(), m_options.keptEntries);
 }
 
+std::vector<ReplicaPeer> ReplicatedLog::peers() const
+{
+    std::map<std::string, ReplicaPeer> known = m_joined;
+    for (const auto& peer : m_options.peers)
+        known[peer.name] = peer;
+    if (const auto* membership = m_log.membership()) {
+        for (const auto& member : membership->members())
+            known[member.name()] = { .name = member.name(), .endpoint = member.endpoint() };
+    }
+    known.erase(m_options.name);
+    std::vector<ReplicaPeer> peers;
+    for (auto& [name, peer] : known)
+        peers.push_back(std::move(peer));
+    return peers;
+}
+
+schema::JoinResponse ReplicatedLog::onJoin(const schema::JoinRequest& request)
+{
+    schema::JoinResponse response;
+    response.set_leader_endpoint(m_leaderEndpoint);
+    if (!leaseLive())
+        return response;
+    m_joined[request.name()] = { .name = request.name(), .endpoint = request.endpoint() };
+    response.set_accepted(true);
+    return response;
+}
+
 bool ReplicatedLog::leaseLive() const
 {
     if (m_role != ReplicaRole::Leader || m_commitIndex < m_termStart || !m_log.membership())
--- a/src/control/internal/rpcservices.cpp
+++ b/src/control/internal/rpcservices.cpp
@@ -103,6 +103,14 @@
     });
 }
 
+grpc::ServerUnaryReactor* PeerService::Join(grpc::CallbackServerContext* call, const schema::JoinRequest* request, schema::JoinResponse* response)
+{
+    return answer(m_context, call, [this, request, response]() -> boost::asio::awaitable<void> {
+        *response = m_log.onPeer([&](auto& log) { return log.onJoin(*request); });
+        co_return;
+    });
+}
+
 grpc::ServerUnaryReactor* PeerService::Describe(grpc::CallbackServerContext* call, const schema::DescribeRequest* request, schema::DescribeResponse* response)
 {
     return answer(m_context, call, [this, request, response]() -> boost::asio::awaitable<void> {
--- a/src/control/internal/tablehistory.cpp
+++ b/src/control/internal/tablehistory.cpp
@@ -7,6 +7,8 @@
     services.insert(other.services.begin(), other.services.end());
     zones.insert(other.zones.begin(), other.zones.end());
     servers.insert(other.servers.begin(), other.servers.end());
+    routes.insert(other.routes.begin(), other.routes.end());
+    document = document || other.document;
 }
 
 void TableHistory::push(std::uint64_t version, TableChange change)
--- a/src/control/ireplicatedlog.h
+++ b/src/control/ireplicatedlog.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "control/types/peermessage.h"
+#include "control/types/replicapeer.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace clementinesill::control {
 
@@ -47,6 +49,12 @@
     virtual schema::SnapshotResponse onSnapshot(const schema::SnapshotRequest& request) = 0;
     virtual schema::DescribeResponse onDescribe(const schema::DescribeRequest& request) = 0;
 
+    // Another controller asks to be sent the log. Only a leader takes it on.
+    virtual schema::JoinResponse onJoin(const schema::JoinRequest& request) = 0;
+
+    // The controllers that messages may be due to, without this one.
+    virtual std::vector<ReplicaPeer> peers() const = 0;
+
     // Takes a command if this controller leads. It is accepted once the state machine is given it under the same term.
     virtual Proposal propose(const std::string& command) = 0;
 
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -17,16 +17,17 @@
 
 class IStateMachine;
 
-struct ReplicaPeer {
-    std::string name;
-    std::string endpoint;
-};
-
 struct ReplicatedLogOptions {
     std::string name;
     std::string endpoint;
-    // All controllers of the group, this one included, in the same order everywhere: the first one forms the group.
+    // The controllers that form the group, in the same order everywhere: the first one forms it. Others may join.
     std::vector<ReplicaPeer> peers;
+    // Whether this controller may form the group if it holds nothing.
+    bool mayForm = true;
+    // Controllers that vote at most; others hold the log, and take the place of one that is lost.
+    int memberLimit = 7;
+    // A member that was not heard for this long gives its place to a controller that waits for one.
+    Duration memberAbsence = std::chrono::seconds(5);
     Duration heartbeat = std::chrono::milliseconds(150);
     // A follower that hears no leader for a random time between these asks for votes, and gives none before the shorter.
     Duration shortestElectionTimeout = std::chrono::milliseconds(600);
@@ -54,6 +55,8 @@
     schema::AppendResponse onAppend(const schema::AppendRequest& request) override;
     schema::SnapshotResponse onSnapshot(const schema::SnapshotRequest& request) override;
     schema::DescribeResponse onDescribe(const schema::DescribeRequest& request) override;
+    schema::JoinResponse onJoin(const schema::JoinRequest& request) override;
+    std::vector<ReplicaPeer> peers() const override;
     Proposal propose(const std::string& command) override;
     void flush() override;
     ReplicaRole role() const override;
@@ -114,6 +117,8 @@
     // Membership.
     void reviewMembership();
     bool reviewPeer(const ReplicaPeer& peer);
+    bool makeRoom();
+    void removeMember(const std::string& name, const char* reason);
     bool quorumWithout(const std::string& name) const;
     void proposeMembership(const schema::Membership& membership);
 
@@ -139,6 +144,8 @@
     std::map<std::string, schema::DescribeResponse> m_described;
     std::map<std::string, MonotonicTime> m_nextDescribe;
     Replication m_replication;
+    // Controllers that asked this leader for the log, by name.
+    std::map<std::string, ReplicaPeer> m_joined;
     MonotonicTime m_leadingSince;
     // Index of the first entry of this leader's term.
     std::uint64_t m_termStart = 0;
--- a/src/control/tablehistory.h
+++ b/src/control/tablehistory.h
@@ -14,8 +14,11 @@
     std::set<std::uint32_t> services;
     std::set<std::string> zones;
     std::set<std::uint32_t> servers;
+    // Endpoints.
+    std::set<std::string> routes;
+    bool document = false;
 
-    bool empty() const { return services.empty() && zones.empty() && servers.empty(); }
+    bool empty() const { return services.empty() && zones.empty() && servers.empty() && routes.empty() && !document; }
     void add(const TableChange& other);
 };
 
--- a/src/control/tests/tablefeed.cpp
+++ b/src/control/tests/tablefeed.cpp
@@ -19,6 +19,7 @@
     boost::asio::awaitable<CommandResult> submit(schema::Command) override { co_return CommandResult {}; }
     bool leading() const override { return leads; }
     bool current() const override { return leads || hears; }
+    std::vector<std::string> members() const override { return {}; }
     std::string leaderEndpoint() const override { return {}; }
     void describe(schema::StatusResponse&) const override { }
 };
--- a/src/fleet/controllerchoice.h
+++ b/src/fleet/controllerchoice.h
@@ -19,6 +19,9 @@
 
     const std::string& current() const { return m_endpoints[m_current]; }
 
+    // Asks these controllers from now on; the current one stays current if it is among them. endpoints must not be empty.
+    void replaceEndpoints(std::vector<std::string> endpoints);
+
     // The current controller answered: the next failure starts with the shortest wait again.
     void succeeded() { m_failures = 0; }
 
--- a/src/fleet/fleettable.h
+++ b/src/fleet/fleettable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/types/routeentry.h"
 #include "fleet/types/serviceentry.h"
 
 #include <cstdint>
@@ -31,18 +32,25 @@
     const ServiceEntry* service(std::uint32_t id) const;
     const ServiceEntry* service(const std::string& name) const;
     const ServerEntry* server(std::uint32_t id) const;
+    // Null if no route has the address.
+    const RouteEntry* route(const Endpoint& endpoint) const;
     bool zoneOut(const std::string& zone) const;
 
     const std::vector<ServiceEntry>& services() const { return m_services; }
 
+    // Version of the operators' document that the routes come from; 0 for none.
+    std::uint64_t documentVersion() const { return m_documentVersion; }
+
 private:
     std::uint64_t m_version = 0;
     std::uint64_t m_hashSeed = 0;
+    std::uint64_t m_documentVersion = 0;
     std::vector<ServiceEntry> m_services;
     std::unordered_map<std::uint64_t, std::size_t> m_byEndpoint;
     std::unordered_map<std::uint32_t, std::size_t> m_byId;
     std::unordered_map<std::uint32_t, std::pair<std::size_t, std::size_t>> m_servers;
     std::map<std::string, bool> m_zonesOut;
+    std::map<Endpoint, RouteEntry> m_routes;
 };
 
 } // namespace clementinesill::fleet
--- a/src/fleet/internal/controllerchoice.cpp
+++ b/src/fleet/internal/controllerchoice.cpp
@@ -21,6 +21,13 @@
 {
 }
 
+void ControllerChoice::replaceEndpoints(std::vector<std::string> endpoints)
+{
+    const auto current = std::find(endpoints.begin(), endpoints.end(), m_endpoints[m_current]);
+    m_current = current == endpoints.end() ? m_random.below(endpoints.size()) : static_cast<std::size_t>(current - endpoints.begin());
+    m_endpoints = std::move(endpoints);
+}
+
 Duration ControllerChoice::failed()
 {
     m_current = (m_current + 1) % m_endpoints.size();
--- a/src/fleet/internal/fleetclient.cpp
+++ b/src/fleet/internal/fleetclient.cpp
@@ -5,11 +5,11 @@
 
 namespace clementinesill::fleet {
 
-std::unique_ptr<IFleetClient> makeFleetClient(const schema::DaemonSettings& settings)
+std::unique_ptr<IFleetClient> makeFleetClient(const schema::DaemonSettings& settings, const ControllerSource& source)
 {
-    if (settings.controllers().empty())
+    if (!source && settings.controllers().empty())
         throw Error(ErrorKind::InvalidSettings, "the settings name no controllers", "list the controllers' gRPC endpoints under 'controllers'");
-    return std::make_unique<GrpcFleetClient>(settings);
+    return std::make_unique<GrpcFleetClient>(settings, source);
 }
 
 } // namespace clementinesill::fleet
--- a/src/fleet/internal/fleettable.cpp
+++ b/src/fleet/internal/fleettable.cpp
@@ -14,17 +14,46 @@
     return (static_cast<std::uint64_t>(endpoint.address) << 32) | (static_cast<std::uint64_t>(endpoint.port) << 16) | static_cast<std::uint64_t>(protocol);
 }
 
+RequestKind requestKind(schema::RequestKind kind)
+{
+    switch (kind) {
+    case schema::REQUEST_KIND_UNSAFE:
+        return RequestKind::Unsafe;
+    case schema::REQUEST_KIND_DOWNLOAD:
+        return RequestKind::Download;
+    default:
+        return RequestKind::Idempotent;
+    }
+}
+
+RouteEntry routeEntry(const schema::Route& record)
+{
+    RouteEntry entry {
+        .endpoint = parseEndpoint(record.endpoint()),
+        .name = record.name(),
+        .targets = {},
+        .kind = requestKind(record.kind()),
+        .timeout = std::chrono::milliseconds(record.timeout_ms()),
+        .targetLatency = std::chrono::milliseconds(record.target_latency_ms()),
+        .priority = record.priority(),
+    };
+    for (const auto& target : record.targets())
+        entry.targets.push_back({ .serviceId = target.service_id(), .weight = target.weight() });
+    return entry;
+}
+
 ServiceEntry serviceEntry(const schema::Service& record)
 {
     return {
         .id = record.id(),
         .name = record.name(),
-        .endpoint = { .address = parseAddress(record.address()), .port = static_cast<std::uint16_t>(record.port()) },
+        .endpoint = { .address = record.address().empty() ? 0 : parseAddress(record.address()), .port = static_cast<std::uint16_t>(record.port()) },
         .protocol = record.protocol() == schema::PROTOCOL_UDP ? TransportProtocol::Udp : TransportProtocol::Tcp,
         .mode = record.mode() == schema::SERVICE_MODE_HTTP ? ServiceMode::Http : ServiceMode::Stream,
         .proxyProtocol = record.proxy_protocol(),
         .idleTimeout = std::chrono::seconds(record.idle_timeout_seconds()),
         .requestTimeout = std::chrono::milliseconds(record.request_timeout_ms()),
+        .coldFlowsPerSecond = record.cold_flows_per_second(),
         .servers = {},
     };
 }
@@ -34,13 +63,19 @@
 FleetTable::FleetTable(const schema::Table& table)
     : m_version(table.version())
     , m_hashSeed(table.hash_seed())
+    , m_documentVersion(table.document_version())
 {
     for (const auto& zone : table.zones())
         m_zonesOut[zone.name()] = zone.state() == schema::ZONE_STATE_OUT;
     for (const auto& record : table.services()) {
         m_byId[record.id()] = m_services.size();
         m_services.push_back(serviceEntry(record));
-        m_byEndpoint[endpointKey(m_services.back().endpoint, m_services.back().protocol)] = m_services.size() - 1;
+        if (!record.address().empty())
+            m_byEndpoint[endpointKey(m_services.back().endpoint, m_services.back().protocol)] = m_services.size() - 1;
+    }
+    for (const auto& record : table.routes()) {
+        auto entry = routeEntry(record);
+        m_routes[entry.endpoint] = std::move(entry);
     }
     for (const auto& record : table.servers()) {
         const auto found = m_byId.find(record.service_id());
@@ -79,6 +114,12 @@
     return found == m_byId.end() ? nullptr : &m_services[found->second];
 }
 
+const RouteEntry* FleetTable::route(const Endpoint& endpoint) const
+{
+    const auto found = m_routes.find(endpoint);
+    return found == m_routes.end() ? nullptr : &found->second;
+}
+
 const ServiceEntry* FleetTable::service(const std::string& name) const
 {
     const auto found = std::find_if(m_services.begin(), m_services.end(), [&](const auto& entry) { return entry.name == name; });
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -5,6 +5,7 @@
 #include "foundation/error.h"
 #include "foundation/log.h"
 
+#include <algorithm>
 #include <grpcpp/grpcpp.h>
 
 namespace clementinesill::fleet {
@@ -21,8 +22,6 @@
 constexpr auto unreachableAfter = std::chrono::seconds(5);
 // Heartbeats in a row with an older version than a peer's packet carried, after which another controller is asked.
 constexpr int staleHeartbeatLimit = 3;
-// How often the watch thread looks whether it is to stop.
-constexpr auto stopCheckInterval = std::chrono::milliseconds(100);
 // Largest table accepted, in bytes.
 constexpr int maximumMessageBytes = 64 << 20;
 
@@ -32,8 +31,8 @@
 // Reads one stream in a straight line with timeouts.
 class WatchStream {
 public:
-    WatchStream(schema::Fleet::Stub& stub, const schema::WatchRequest& request, const std::atomic<bool>& stopping)
-        : m_stopping(stopping)
+    WatchStream(schema::Fleet::Stub& stub, const schema::WatchRequest& request, grpc::ClientContext& context)
+        : m_context(context)
         , m_reader(stub.AsyncWatch(&m_context, request, &m_queue, watchTag))
     {
     }
@@ -69,24 +68,19 @@
     }
 
 private:
-    // False if the event failed, the time is over or the client stops.
+    // False if the event failed or the time is over. A cancelled context fails the event.
     bool await(Duration timeout)
     {
-        const auto deadline = std::chrono::steady_clock::now() + timeout;
-        while (!m_stopping && std::chrono::steady_clock::now() < deadline) {
-            void* tag = nullptr;
-            bool ok = false;
-            const auto status = m_queue.AsyncNext(&tag, &ok, std::chrono::system_clock::now() + stopCheckInterval);
-            if (status == grpc::CompletionQueue::GOT_EVENT)
-                return ok;
-        }
+        void* tag = nullptr;
+        bool ok = false;
+        if (m_queue.AsyncNext(&tag, &ok, std::chrono::system_clock::now() + timeout) == grpc::CompletionQueue::GOT_EVENT)
+            return ok;
         m_timedOut = true;
         return false;
     }
 
-    const std::atomic<bool>& m_stopping;
     bool m_timedOut = false;
-    grpc::ClientContext m_context;
+    grpc::ClientContext& m_context;
     grpc::CompletionQueue m_queue;
     std::unique_ptr<grpc::ClientAsyncReader<schema::TableUpdate>> m_reader;
 };
@@ -106,11 +100,12 @@
 
 } // namespace
 
-GrpcFleetClient::GrpcFleetClient(const schema::DaemonSettings& settings)
+GrpcFleetClient::GrpcFleetClient(const schema::DaemonSettings& settings, const ControllerSource& source)
     : m_settings(settings)
+    , m_source(source)
     , m_credentials(net::daemonCredentials(settings))
     , m_random(SeededRandom::fromEntropy())
-    , m_callChoice({ settings.controllers().begin(), settings.controllers().end() }, m_random)
+    , m_callChoice(controllers(), m_random)
 {
 }
 
@@ -129,6 +124,8 @@
     {
         const std::lock_guard lock(m_mutex);
         m_stopping = true;
+        if (m_watched)
+            m_watched->TryCancel();
     }
     m_stopped.notify_all();
     if (m_watchThread.joinable())
@@ -138,8 +135,8 @@
 void GrpcFleetClient::watchLoop()
 {
     auto random = SeededRandom::fromEntropy();
-    ControllerChoice choice({ m_settings.controllers().begin(), m_settings.controllers().end() }, random);
-    auto lastReceived = Clock::now();
+    ControllerChoice choice(controllers(), random);
+    auto lastReceived = m_clock.now();
     bool alone = false;
     while (!m_stopping) {
         const auto end = watchOnce(choice.current());
@@ -147,18 +144,63 @@
             return;
         if (end.received) {
             choice.succeeded();
-            lastReceived = Clock::now();
+            lastReceived = m_clock.now();
         }
-        if (const bool unreachable = Clock::now() - lastReceived > unreachableAfter; unreachable != alone) {
+        if (const bool unreachable = m_clock.now() - lastReceived > unreachableAfter; unreachable != alone) {
             alone = unreachable;
             // Without a majority nothing is accepted, so the table held is still right, or the newest this daemon can have.
             log(alone ? LogLevel::Warn : LogLevel::Info, alone ? "controllers_unreachable" : "controllers_reachable", { { .key = "serving_version", .value = std::to_string(m_table.version()) } });
         }
         log(LogLevel::Info, "watch_ended", { { .key = "controller", .value = choice.current() }, { .key = "version", .value = std::to_string(m_table.version()) }, { .key = "reason", .value = end.reason } });
+        if (!end.refused)
+            dropStub(choice.current());
+        learnHint(choice, end.hint);
         pause(end.refused ? choice.follow(end.hint) : choice.failed());
     }
 }
 
+std::vector<std::string> GrpcFleetClient::controllers() const
+{
+    if (!m_source)
+        return { m_settings.controllers().begin(), m_settings.controllers().end() };
+    auto known = m_source();
+    for (const auto& endpoint : m_learned) {
+        if (std::find(known.begin(), known.end(), endpoint) == known.end())
+            known.push_back(endpoint);
+    }
+    return known;
+}
+
+void GrpcFleetClient::learnControllers(const schema::TableUpdate& update)
+{
+    if (!m_source || update.controllers().empty())
+        return;
+    const std::lock_guard lock(m_mutex);
+    if (std::equal(m_learned.begin(), m_learned.end(), update.controllers().begin(), update.controllers().end()))
+        return;
+    m_learned.assign(update.controllers().begin(), update.controllers().end());
+    m_callChoice.replaceEndpoints(controllers());
+}
+
+// The leader may have joined after this daemon learned of the others.
+void GrpcFleetClient::learnHint(ControllerChoice& choice, const std::string& hint)
+{
+    if (!m_source)
+        return;
+    const std::lock_guard lock(m_mutex);
+    auto known = controllers();
+    if (!hint.empty() && std::find(known.begin(), known.end(), hint) == known.end())
+        known.push_back(hint);
+    choice.replaceEndpoints(std::move(known));
+}
+
+// A connection that has gone silent is not used again: the next call opens a new one.
+void GrpcFleetClient::dropStub(const std::string& endpoint)
+{
+    const std::lock_guard lock(m_mutex);
+    m_stubs.erase(endpoint);
+}
+
 GrpcFleetClient::WatchEnd GrpcFleetClient::watchOnce(const std::string& endpoint)
 {
     schema::WatchRequest request;
@@ -167,7 +209,22 @@
     request.set_zone(m_settings.zone());
     request.set_version(m_table.version());
     const auto target = stub(endpoint);
-    WatchStream stream(*target, request, m_stopping);
+    grpc::ClientContext context;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stopping)
+            return {};
+        m_watched = &context;
+    }
+    const auto end = readWatch(*target, request, context);
+    const std::lock_guard lock(m_mutex);
+    m_watched = nullptr;
+    return end;
+}
+
+GrpcFleetClient::WatchEnd GrpcFleetClient::readWatch(Stub& target, const schema::WatchRequest& request, grpc::ClientContext& context)
+{
+    WatchStream stream(target, request, context);
     WatchEnd end;
     Duration lease = firstUpdateTimeout;
     schema::TableUpdate update;
@@ -179,6 +236,7 @@
             return end;
         }
         end.received = true;
+        learnControllers(update);
         staleHeartbeats = m_holder.highestVersionSeen() > m_table.version() ? staleHeartbeats + 1 : 0;
         if (staleHeartbeats >= staleHeartbeatLimit) {
             end.reason = "a peer holds a newer table than this controller gives";
@@ -207,11 +265,11 @@
             return false;
         break;
     default:
-        m_holder.confirm(update.version(), Clock::now());
+        m_holder.confirm(update.version(), m_clock.now());
         return true;
     }
     offerTable();
-    m_holder.confirm(m_table.version(), Clock::now());
+    m_holder.confirm(m_table.version(), m_clock.now());
     return true;
 }
 
@@ -242,6 +300,7 @@
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 500);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 2000);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     stub = schema::Fleet::NewStub(grpc::CreateCustomChannel(endpoint, m_credentials.channel(), arguments));
     return stub;
 }
@@ -249,16 +308,16 @@
 template <typename Request, typename Response>
 Response GrpcFleetClient::call(grpc::Status (Stub::*method)(grpc::ClientContext*, const Request&, Response*), const Request& request, Duration timeout)
 {
-    const auto deadline = Clock::now() + timeout;
+    const auto deadline = m_clock.now() + timeout;
     std::string problem = "no controller was asked";
-    while (!m_stopping && Clock::now() < deadline) {
+    while (!m_stopping && m_clock.now() < deadline) {
         std::string endpoint;
         {
             const std::lock_guard lock(m_mutex);
             endpoint = m_callChoice.current();
         }
         grpc::ClientContext context;
-        context.set_deadline(std::chrono::system_clock::now() + std::min<Duration>(callTimeout, deadline - Clock::now()));
+        context.set_deadline(std::chrono::system_clock::now() + std::min<Duration>(callTimeout, deadline - m_clock.now()));
         Response response;
         const auto status = ((*stub(endpoint)).*method)(&context, request, &response);
         const auto& outcome = response.outcome();
@@ -268,6 +327,8 @@
             return response;
         }
         problem = status.ok() ? outcome.message() : status.error_message();
+        if (!status.ok())
+            m_stubs.erase(endpoint);
         const auto wait = status.ok() ? m_callChoice.follow(outcome.leader_hint()) : m_callChoice.failed();
         m_stopped.wait_for(lock, wait, [this] { return m_stopping.load(); });
     }
@@ -276,15 +337,15 @@
 
 Registration GrpcFleetClient::registerServer(const schema::ServerAnnouncement& announcement)
 {
-    const auto deadline = Clock::now() + registerTimeout;
+    const auto deadline = m_clock.now() + registerTimeout;
     schema::RegisterResponse response;
     do {
-        response = call(&Stub::Register, announcement, deadline - Clock::now());
+        response = call(&Stub::Register, announcement, deadline - m_clock.now());
         if (response.outcome().code() != schema::Outcome::CODE_NOT_FOUND)
             break;
         // The service may still be on its way from the operators.
         pause(std::chrono::milliseconds(500));
-    } while (!m_stopping && Clock::now() < deadline);
+    } while (!m_stopping && m_clock.now() < deadline);
     if (response.outcome().code() == schema::Outcome::CODE_NOT_FOUND)
         throw Error(ErrorKind::Unavailable, response.outcome().message(), "the agent asks again");
     if (response.outcome().code() != schema::Outcome::CODE_OK)
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -2,9 +2,11 @@
 
 #include "control.grpc.pb.h"
 #include "fleet/controllerchoice.h"
+#include "fleet/fleetclient.h"
 #include "fleet/ifleetclient.h"
 #include "fleet/tableholder.h"
 #include "foundation/seededrandom.h"
+#include "foundation/systemclock.h"
 #include "net/credentials.h"
 #include "settings.pb.h"
 
@@ -20,7 +22,7 @@
 // Fleet client over gRPC. One thread watches the table; calls run on their callers' threads.
 class GrpcFleetClient final : public IFleetClient {
 public:
-    explicit GrpcFleetClient(const schema::DaemonSettings& settings);
+    explicit GrpcFleetClient(const schema::DaemonSettings& settings, const ControllerSource& source = {});
     ~GrpcFleetClient() override;
 
     void start() override;
@@ -32,7 +34,6 @@
 
 private:
     using Stub = schema::Fleet::Stub;
-    using Clock = std::chrono::steady_clock;
 
     // Why a watch ended, and where to go on.
     struct WatchEnd {
@@ -44,9 +45,14 @@
 
     void watchLoop();
     WatchEnd watchOnce(const std::string& endpoint);
+    WatchEnd readWatch(Stub& target, const schema::WatchRequest& request, grpc::ClientContext& context);
     bool takeUpdate(const schema::TableUpdate& update);
     void offerTable();
     void pause(Duration duration);
+    void learnControllers(const schema::TableUpdate& update);
+    void learnHint(ControllerChoice& choice, const std::string& hint);
+    void dropStub(const std::string& endpoint);
+    std::vector<std::string> controllers() const;
     std::shared_ptr<Stub> stub(const std::string& endpoint);
 
     // Calls controllers until one gives a final outcome or the time is over; then throws Error (Unavailable).
@@ -54,6 +60,8 @@
     Response call(grpc::Status (Stub::*method)(grpc::ClientContext*, const Request&, Response*), const Request& request, Duration timeout);
 
     schema::DaemonSettings m_settings;
+    ControllerSource m_source;
+    SystemClock m_clock;
     net::Credentials m_credentials;
     TableHolder m_holder;
     // Held by the watch thread only.
@@ -64,8 +72,12 @@
     std::condition_variable m_stopped;
     // Guarded by m_mutex.
     SeededRandom m_random;
+    // gRPC endpoints that controllers have named, beside those of the source.
+    std::vector<std::string> m_learned;
     ControllerChoice m_callChoice;
     std::map<std::string, std::shared_ptr<Stub>> m_stubs;
+    // The stream that is read now, if any.
+    grpc::ClientContext* m_watched = nullptr;
 };
 
 } // namespace clementinesill::fleet
--- a/src/fleet/internal/tabledelta.cpp
+++ b/src/fleet/internal/tabledelta.cpp
@@ -42,6 +42,8 @@
     merge(*table.mutable_services(), delta.services(), delta.removed_services(), [](const schema::Service& service) { return service.id(); });
     merge(*table.mutable_zones(), delta.zones(), delta.removed_zones(), [](const schema::Zone& zone) { return zone.name(); });
     merge(*table.mutable_servers(), delta.servers(), delta.removed_servers(), [](const schema::Server& server) { return server.id(); });
+    merge(*table.mutable_routes(), delta.routes(), delta.removed_routes(), [](const schema::Route& route) { return route.endpoint(); });
+    table.set_document_version(delta.document_version());
     table.set_version(delta.to_version());
     return true;
 }
--- a/src/fleet/types/serviceentry.h
+++ b/src/fleet/types/serviceentry.h
@@ -24,6 +24,8 @@
     bool proxyProtocol = false;
     std::chrono::seconds idleTimeout { 0 };
     std::chrono::milliseconds requestTimeout { 0 };
+    // Flows a second that a cold server may be given.
+    double coldFlowsPerSecond = 0;
     std::vector<ServerEntry> servers;
 };
 
--- a/src/framework/foundation/internal/log.cpp
+++ b/src/framework/foundation/internal/log.cpp
@@ -57,7 +57,7 @@
     root.setLogLevel(libraryLevel(options.level));
     log4cplus::SharedAppenderPtr appender;
     if (options.file.empty()) {
-        appender = log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
+        appender = log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(!options.standardOutput, true));
     } else {
         if (!std::ofstream(options.file, std::ios::app))
             throw Error(ErrorKind::Storage, "cannot write the log file '" + options.file + "'", "create its folder or change log.file");
--- a/src/framework/foundation/log.h
+++ b/src/framework/foundation/log.h
@@ -41,6 +41,8 @@
     bool json = true;
     // Standard error if empty.
     std::string file;
+    // Standard output instead of standard error.
+    bool standardOutput = false;
     // Added to each line as "daemon".
     std::string daemon;
 };
--- a/src/framework/net/internal/credentials.cpp
+++ b/src/framework/net/internal/credentials.cpp
@@ -63,9 +63,12 @@
         endpoints.push_back(settings.controller().endpoint());
     for (const auto& peer : settings.controller().peers())
         endpoints.push_back(peer.endpoint());
+    // A trusted network is the settings' own word.
+    if (settings.plain_network())
+        endpoints.clear();
     Credentials credentials(settings.tls(), endpoints);
     if (credentials.plain())
-        log(LogLevel::Warn, "grpc_plain", { { "reason", "no TLS files are set and every gRPC endpoint is on loopback" } });
+        log(LogLevel::Warn, "grpc_plain", { { "reason", settings.plain_network() ? "the settings call the network trusted" : "no TLS files are set and every gRPC endpoint is on loopback" } });
     return credentials;
 }
 
--- a/src/operators/internal/jsonnode.h
+++ b/src/operators/internal/jsonnode.h
@@ -26,6 +26,8 @@
     bool boolean = false;
     // Value of an Integer that is not negative; negative ones have type Fraction.
     std::uint64_t integer = 0;
+    // Value of an Integer or a Fraction.
+    double number = 0;
     std::string text;
     std::vector<JsonNode> items;
     std::vector<JsonMember> members;
--- a/src/operators/internal/schemareader.cpp
+++ b/src/operators/internal/schemareader.cpp
@@ -46,6 +46,8 @@
         return "true or false";
     case FieldDescriptor::CPPTYPE_MESSAGE:
         return "an object in braces";
+    case FieldDescriptor::CPPTYPE_DOUBLE:
+        return "a number from 0 on without quotes";
     default:
         return "a whole number without quotes";
     }
@@ -176,7 +178,8 @@
 {
     if (node.type == JsonNode::Type::String && unitOf(field))
         failUnit(node, path, field);
-    if (node.type != nodeType(field))
+    const bool fractionAllowed = field.cpp_type() == FieldDescriptor::CPPTYPE_DOUBLE && node.type == JsonNode::Type::Fraction && node.number >= 0;
+    if (node.type != nodeType(field) && !fractionAllowed)
         fail(ConfigFault::WrongType, path, "holds " + typeName(node.type), "write " + wantedType(field));
     const auto& reflection = *message.GetReflection();
     const bool many = field.is_repeated();
@@ -187,6 +190,8 @@
         return reflection.SetBool(&message, &field, node.boolean);
     case FieldDescriptor::CPPTYPE_UINT32:
         return reflection.SetUInt32(&message, &field, readNumber(node, path));
+    case FieldDescriptor::CPPTYPE_DOUBLE:
+        return reflection.SetDouble(&message, &field, node.number);
     case FieldDescriptor::CPPTYPE_MESSAGE:
         return readObject(node, path, many ? *reflection.AddMessage(&message, &field) : *reflection.MutableMessage(&message, &field));
     default:
--- /dev/null
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -0,0 +1,78 @@
+#include "passthrough/entryrouter.h"
+
+#include "dataplane/iflowcache.h"
+#include "dataplane/types/holder.h"
+#include "fleet/fleettable.h"
+#include "passthrough/types/flowpacket.h"
+#include "passthrough/zonerank.h"
+
+#include <array>
+
+namespace clementinesill::passthrough {
+
+std::string_view name(EntryReason reason)
+{
+    static constexpr std::array<std::string_view, 7> names { "first_accepting", "next_accepting", "cache_hit", "first_in_rank", "no_table", "no_route", "no_server" };
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+EntryRouter::EntryRouter(dataplane::IFlowCache& cache, std::string zone)
+    : m_cache(cache)
+    , m_zone(std::move(zone))
+{
+}
+
+EntryDecision EntryRouter::decide(const FlowPacket& packet, const fleet::FleetTable& table)
+{
+    if (!table.documentVersion())
+        return { .action = EntryAction::Drop, .reason = EntryReason::NoTable };
+    const auto* route = table.route(packet.key.service);
+    const auto flowHash = fleet::hash(packet.key, table.hashSeed());
+    // A route may be so new that this table lacks it: only a flow that is not open yet is refused.
+    if (!route)
+        return { .action = packet.opensFlow() ? EntryAction::Reset : EntryAction::Drop, .reason = EntryReason::NoRoute };
+    if (packet.opensFlow())
+        return open(packet, table, flowHash);
+    return follow(table, flowHash, route->serviceFor(flowHash));
+}
+
+EntryDecision EntryRouter::open(const FlowPacket& packet, const fleet::FleetTable& table, std::uint64_t flowHash)
+{
+    const auto* service = table.service(table.route(packet.key.service)->serviceFor(flowHash));
+    std::vector<const fleet::ServerEntry*> accepting;
+    if (service) {
+        for (const auto* server : rankFromZone(flowHash, service->servers, m_zone)) {
+            if (server->accepting())
+                accepting.push_back(server);
+        }
+    }
+    if (accepting.empty())
+        return { .action = EntryAction::Reset, .reason = EntryReason::NoServer };
+    const auto place = packet.earlierCopies() % accepting.size();
+    const auto* server = accepting[place];
+    m_cache.store(flowHash, { .serverId = server->id, .incarnation = server->incarnation });
+    return { .action = EntryAction::Forward, .reason = place ? EntryReason::NextAccepting : EntryReason::FirstAccepting, .server = server, .opensFlow = true };
+}
+
+EntryDecision EntryRouter::follow(const fleet::FleetTable& table, std::uint64_t flowHash, std::uint32_t serviceId)
+{
+    if (const auto cached = m_cache.find(flowHash)) {
+        const auto* server = table.server(cached->serverId);
+        if (server && server->incarnation == cached->incarnation)
+            return { .action = EntryAction::Forward, .reason = EntryReason::CacheHit, .server = server, .fromCache = true };
+        m_cache.erase(flowHash);
+    }
+    const auto* service = table.service(serviceId);
+    if (!service || service->servers.empty())
+        return { .action = EntryAction::Drop, .reason = EntryReason::NoServer };
+    return { .action = EntryAction::Forward, .reason = EntryReason::FirstInRank, .server = rankFromZone(flowHash, service->servers, m_zone).front() };
+}
+
+void EntryRouter::learn(const dataplane::Holder& holder, const fleet::FleetTable& table)
+{
+    const auto* server = table.server(holder.serverId);
+    if (server && server->incarnation == holder.incarnation)
+        m_cache.store(fleet::hash(holder.key, table.hashSeed()), { .serverId = holder.serverId, .incarnation = holder.incarnation });
+}
+
+} // namespace clementinesill::passthrough
--- /dev/null
+++ b/src/passthrough/internal/localserver.cpp
@@ -0,0 +1,38 @@
+#include "passthrough/localserver.h"
+
+namespace clementinesill::passthrough {
+
+bool LocalServer::sameStart(const ServerBeat& beat) const
+{
+    return m_beat->name == beat.name && m_beat->startedAtMs == beat.startedAtMs;
+}
+
+bool LocalServer::olderStart(const ServerBeat& beat) const
+{
+    return beat.startedAtMs && m_beat->startedAtMs && beat.startedAtMs < m_beat->startedAtMs;
+}
+
+BeatChange LocalServer::accept(const ServerBeat& beat)
+{
+    if (m_beat && (olderStart(beat) || (sameStart(beat) && (m_left || beat.sequence < m_beat->sequence))))
+        return BeatChange::Outdated;
+    auto change = BeatChange::None;
+    if (!m_beat || !sameStart(beat))
+        change = BeatChange::NewStart;
+    else if (beat.draining != m_beat->draining)
+        change = beat.draining ? BeatChange::DrainStarted : BeatChange::DrainEnded;
+    m_beat = beat;
+    m_left = false;
+    noteAlive();
+    return change;
+}
+
+bool LocalServer::leave(const std::string& name)
+{
+    if (!m_beat || m_beat->name != name)
+        return false;
+    m_left = true;
+    return true;
+}
+
+} // namespace clementinesill::passthrough
--- /dev/null
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -0,0 +1,147 @@
+#include "dataplane/genevecodec.h"
+#include "dataplane/internal/flowcache.h"
+#include "dataplane/types/genevemessage.h"
+#include "fleet/fleettable.h"
+#include "fleet/ifleetclient.h"
+#include "fleet/itablesource.h"
+#include "foundation/irolemodule.h"
+#include "foundation/log.h"
+#include "foundation/metrics.h"
+#include "net/ilistener.h"
+#include "passthrough/entryrouter.h"
+#include "passthrough/internal/packetsocket.h"
+#include "passthrough/ipacketformat.h"
+#include "passthrough/passthroughmodules.h"
+#include "settings.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <thread>
+
+namespace clementinesill::passthrough {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t defaultCacheEntries = 16384;
+// The fabric looks twice a second and takes a balancer out after two misses; packets on their way come on top.
+constexpr std::chrono::milliseconds rotationDelay { 2200 };
+constexpr std::size_t entryReasons = 7;
+
+class PassThroughBalancer final : public IRoleModule {
+public:
+    PassThroughBalancer(const schema::DaemonSettings& settings, fleet::IFleetClient& fleet, const IPacketFormat& format, const ReadyListenerFactory& makeReadyListener, MetricsRegistry& metrics)
+        : m_settings(settings.balancer().pass_through())
+        , m_fleet(fleet)
+        , m_format(format)
+        , m_makeReadyListener(makeReadyListener)
+        , m_metrics(metrics)
+        , m_cache(settings.balancer().flow_cache_entries() ? settings.balancer().flow_cache_entries() : defaultCacheEntries)
+        , m_router(m_cache, settings.zone())
+        , m_peerEndpoint(parseEndpoint(m_settings.peer_endpoint()))
+        , m_callerPort(parseEndpoint(m_settings.packet_endpoint()).port)
+        , m_packets(m_loop, parseEndpoint(m_settings.packet_endpoint()))
+        , m_peers(m_loop, m_peerEndpoint)
+    {
+        for (std::size_t reason = 0; reason < m_decisions.size(); ++reason)
+            m_decisions[reason] = &metrics.counter("entry_packets_total", { { "reason", std::string(name(static_cast<EntryReason>(reason))) } });
+    }
+
+    ~PassThroughBalancer() override { stop(); }
+
+    void start() override
+    {
+        asio::co_spawn(m_loop, m_packets.run([this](auto datagram) { onCallerPacket(datagram); }), asio::detached);
+        asio::co_spawn(m_loop, m_peers.run([this](auto datagram) { onPeerPacket(datagram); }), asio::detached);
+        m_thread = std::thread([this] { m_loop.run(); });
+        m_readyListener = m_makeReadyListener(m_settings.ready_endpoint(), [this] { return !m_leaving && m_fleet.tables().table()->documentVersion(); });
+    }
+
+    // Tells the fabric to send nothing more, and goes on until it has noticed.
+    void stop() override
+    {
+        if (!m_thread.joinable())
+            return;
+        m_leaving = true;
+        std::this_thread::sleep_for(rotationDelay);
+        m_readyListener->stop();
+        m_loop.stop();
+        m_thread.join();
+    }
+
+private:
+    void onCallerPacket(std::span<const std::byte> bytes)
+    {
+        const auto packet = m_format.decode(bytes);
+        if (!packet) {
+            ++m_metrics.counter("entry_malformed_total");
+            return;
+        }
+        const auto table = m_fleet.tables().table();
+        const auto decision = m_router.decide(*packet, *table);
+        ++*m_decisions.at(static_cast<std::size_t>(decision.reason));
+        if (decision.action == EntryAction::Forward)
+            forward(decision, *table, bytes);
+        else if (decision.action == EntryAction::Reset)
+            m_packets.send({}, m_format.reset(*packet), { .address = packet->key.caller.address, .port = m_callerPort });
+    }
+
+    void forward(const EntryDecision& decision, const fleet::FleetTable& table, std::span<const std::byte> bytes)
+    {
+        dataplane::GeneveMessage message;
+        message.serviceId = decision.server->serviceId;
+        message.route = dataplane::Route {
+            .tableVersion = table.version(),
+            .serviceId = decision.server->serviceId,
+            .serverId = decision.server->id,
+            .incarnation = decision.server->incarnation,
+            .balancer = m_peerEndpoint,
+            .ingress = {},
+            .flags = static_cast<std::uint8_t>((decision.opensFlow ? dataplane::Route::opensFlow : 0) | (decision.fromCache ? dataplane::Route::fromCache : 0)),
+        };
+        std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
+        const auto headerBytes = dataplane::encodeGeneveHeader(message, header);
+        m_packets.send(std::span(header).first(headerBytes), bytes, decision.server->agent);
+    }
+
+    void onPeerPacket(std::span<const std::byte> datagram)
+    {
+        dataplane::GeneveMessage message;
+        if (dataplane::decodeGeneve(datagram, message) != dataplane::PacketError::None || !message.holder) {
+            ++m_metrics.counter("entry_malformed_total");
+            return;
+        }
+        m_router.learn(*message.holder, *m_fleet.tables().table());
+    }
+
+    const schema::PassThroughSettings m_settings;
+    fleet::IFleetClient& m_fleet;
+    const IPacketFormat& m_format;
+    ReadyListenerFactory m_makeReadyListener;
+    MetricsRegistry& m_metrics;
+    dataplane::FlowCache m_cache;
+    EntryRouter m_router;
+    const Endpoint m_peerEndpoint;
+    const std::uint16_t m_callerPort;
+    asio::io_context m_loop { 1 };
+    PacketSocket m_packets;
+    PacketSocket m_peers;
+    // By EntryReason.
+    std::array<Counter*, entryReasons> m_decisions {};
+    std::atomic<bool> m_leaving { false };
+    std::unique_ptr<net::IListener> m_readyListener;
+    std::thread m_thread;
+};
+
+} // namespace
+
+std::unique_ptr<IRoleModule> makePassThroughBalancer(const schema::DaemonSettings& settings, fleet::IFleetClient& fleet, const IPacketFormat& format, const ReadyListenerFactory& makeReadyListener, MetricsRegistry& metrics)
+{
+    return std::make_unique<PassThroughBalancer>(settings, fleet, format, makeReadyListener, metrics);
+}
+
+} // namespace clementinesill::passthrough
--- /dev/null
+++ b/src/passthrough/internal/relaypath.cpp
@@ -0,0 +1,177 @@
+#include "passthrough/internal/relaypath.h"
+
+#include "agent/types/tableview.h"
+#include "dataplane/genevecodec.h"
+#include "fleet/fleettable.h"
+#include "fleet/itablesource.h"
+#include "foundation/log.h"
+#include "passthrough/heldflows.h"
+#include "passthrough/ipacketformat.h"
+#include "passthrough/localserver.h"
+#include "passthrough/relayrouter.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace clementinesill::passthrough {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Packets at the server at once whose searches can go on; some seconds of a busy server.
+constexpr std::size_t pendingCapacity = 2048;
+
+} // namespace
+
+RelayPath::RelayPath(asio::io_context& loop, const RelayPathOptions& options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_packets(loop, options.packets)
+    , m_serverPackets(loop, options.serverPackets)
+    , m_pending(pendingCapacity)
+{
+    for (std::size_t reason = 0; reason < m_decisions.size(); ++reason)
+        m_decisions[reason] = &options.metrics.counter("relay_packets_total", { { "reason", std::string(name(static_cast<RelayReason>(reason))) } });
+}
+
+void RelayPath::start()
+{
+    asio::co_spawn(m_loop, m_packets.run([this](auto datagram) { onDaemonPacket(datagram); }), asio::detached);
+    asio::co_spawn(m_loop, m_serverPackets.run([this](auto datagram) { onServerPacket(datagram); }), asio::detached);
+}
+
+void RelayPath::setServer(std::uint32_t serverId, std::uint32_t incarnation)
+{
+    m_serverId = serverId;
+    m_incarnation = incarnation;
+}
+
+void RelayPath::onDaemonPacket(std::span<std::byte> datagram)
+{
+    dataplane::GeneveMessage message;
+    if (dataplane::decodeGeneve(datagram, message) != dataplane::PacketError::None || !message.route) {
+        ++m_options.metrics.counter("relay_malformed_total");
+        return;
+    }
+    const auto offset = static_cast<std::size_t>(message.payload.data() - datagram.data());
+    const auto bytes = datagram.subspan(offset, message.payload.size());
+    const auto packet = m_options.format.decode(bytes);
+    if (!packet) {
+        ++m_options.metrics.counter("relay_malformed_total");
+        return;
+    }
+    const auto table = m_options.tables.table();
+    if (table->version() != m_seenVersion) {
+        m_seenVersion = table->version();
+        m_options.tableSeen(*table);
+    }
+    if (message.route->tableVersion > table->version())
+        m_options.tables.noteNewerVersion(message.route->tableVersion);
+    const Search search { .route = *message.route, .visited = message.visited };
+    const auto decision = m_options.router.decide(search, *packet, { .table = *table, .confirmedAt = m_options.tables.confirmedAt() });
+    carryOut(decision, search, *packet, bytes);
+}
+
+void RelayPath::onServerPacket(std::span<std::byte> datagram)
+{
+    const auto packet = m_options.format.decode(datagram);
+    if (!packet) {
+        ++m_options.metrics.counter("relay_malformed_total");
+        return;
+    }
+    m_options.localServer.noteAlive();
+    if (packet->bounced) {
+        onHandedBack(datagram, *packet);
+        return;
+    }
+    m_options.flows.noteServer(*packet);
+    toCaller(packet->flowOfAnswer(), datagram);
+}
+
+void RelayPath::onHandedBack(std::span<std::byte> datagram, const FlowPacket& packet)
+{
+    const auto table = m_options.tables.table();
+    Search search;
+    if (const auto* pending = m_pending.find(packet.mark)) {
+        search = *pending;
+    } else {
+        // A packet of a flow that the server has forgotten: the search starts here.
+        const auto* self = table->server(m_serverId);
+        search.route = { .tableVersion = table->version(), .serviceId = self ? self->serviceId : 0, .serverId = m_serverId, .incarnation = m_incarnation, .balancer = {}, .ingress = {} };
+    }
+    m_options.format.mark(datagram, 0);
+    carryOut(m_options.router.decideHandedBack(search, packet, { .table = *table, .confirmedAt = m_options.tables.confirmedAt() }), search, packet, datagram);
+}
+
+void RelayPath::carryOut(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::span<std::byte> bytes)
+{
+    ++*m_decisions.at(static_cast<std::size_t>(decision.reason));
+    switch (decision.action) {
+    case RelayAction::Deliver:
+    case RelayAction::Open:
+        if (search.route.flags & dataplane::Route::passedOn)
+            tellBalancer(search, packet.key);
+        deliver(packet, bytes, decision.action == RelayAction::Open ? m_pending.store(search) : 0);
+        return;
+    case RelayAction::Ask:
+        deliver(packet, bytes, m_pending.store(search));
+        return;
+    case RelayAction::PassOn:
+        passOn(decision, search, bytes);
+        return;
+    case RelayAction::Reset:
+        toCaller(packet.key, m_options.format.reset(packet));
+        return;
+    case RelayAction::Drop:
+        return;
+    }
+}
+
+void RelayPath::deliver(const FlowPacket& packet, std::span<std::byte> bytes, std::uint32_t mark)
+{
+    m_options.flows.noteCaller(packet);
+    if (mark)
+        m_options.format.mark(bytes, mark);
+    m_serverPackets.send({}, bytes, m_options.server);
+}
+
+void RelayPath::passOn(const RelayDecision& decision, Search search, std::span<const std::byte> bytes)
+{
+    if (m_serverId)
+        search.visited.push_back(m_serverId);
+    auto& route = search.route;
+    route.serviceId = decision.nextServiceId;
+    route.serverId = decision.nextServerId;
+    route.incarnation = decision.nextIncarnation;
+    route.flags |= dataplane::Route::passedOn;
+    route.tableVersion = std::max(route.tableVersion, m_options.tables.table()->version());
+    ++route.hops;
+    dataplane::GeneveMessage message;
+    message.serviceId = route.serviceId;
+    message.route = route;
+    message.visited = search.visited;
+    std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
+    const auto headerBytes = dataplane::encodeGeneveHeader(message, header);
+    m_packets.send(std::span(header).first(headerBytes), bytes, decision.nextAgent);
+}
+
+void RelayPath::tellBalancer(const Search& search, const fleet::FlowKey& key)
+{
+    if (!search.route.balancer.port)
+        return;
+    dataplane::GeneveMessage hint;
+    hint.serviceId = search.route.serviceId;
+    hint.control = true;
+    hint.holder = dataplane::Holder { .key = key, .serverId = m_serverId, .incarnation = m_incarnation };
+    std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
+    const auto headerBytes = dataplane::encodeGeneveHeader(hint, header);
+    m_packets.send(std::span(header).first(headerBytes), {}, search.route.balancer);
+}
+
+void RelayPath::toCaller(const fleet::FlowKey& flow, std::span<const std::byte> bytes)
+{
+    m_packets.send({}, bytes, { .address = flow.caller.address, .port = m_options.packets.port });
+}
+
+} // namespace clementinesill::passthrough
--- /dev/null
+++ b/src/passthrough/internal/relaypath.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "foundation/metrics.h"
+#include "passthrough/internal/packetsocket.h"
+#include "passthrough/pendingsearches.h"
+#include "passthrough/types/relaydecision.h"
+
+#include <array>
+
+namespace clementinesill::fleet {
+class FleetTable;
+class ITableSource;
+}
+
+namespace clementinesill::passthrough {
+
+class HeldFlows;
+class IPacketFormat;
+class LocalServer;
+class RelayRouter;
+struct FlowPacket;
+
+// What the relay path works with. The references must outlive it.
+struct RelayPathOptions {
+    // Where daemons' packets arrive; callers are answered at its port.
+    Endpoint packets;
+    // Where the server's packets arrive.
+    Endpoint serverPackets;
+    Endpoint server;
+    const IPacketFormat& format;
+    RelayRouter& router;
+    HeldFlows& flows;
+    LocalServer& localServer;
+    fleet::ITableSource& tables;
+    MetricsRegistry& metrics;
+    // Called before the first packet that a newer table decides.
+    std::function<void(const fleet::FleetTable&)> tableSeen;
+};
+
+// Carries packets between daemons, the server beside this agent and callers, as the router decides.
+class RelayPath {
+public:
+    // Binds the sockets. Throws Error (AddressInUse or Network).
+    RelayPath(boost::asio::io_context& loop, const RelayPathOptions& options);
+
+    // Starts to read both sockets.
+    void start();
+
+    // Tells the balancers and agents where flows are by this name.
+    void setServer(std::uint32_t serverId, std::uint32_t incarnation);
+
+private:
+    void onDaemonPacket(std::span<std::byte> datagram);
+    void onServerPacket(std::span<std::byte> datagram);
+    void onHandedBack(std::span<std::byte> datagram, const FlowPacket& packet);
+    void carryOut(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::span<std::byte> bytes);
+    void deliver(const FlowPacket& packet, std::span<std::byte> bytes, std::uint32_t mark);
+    void passOn(const RelayDecision& decision, Search search, std::span<const std::byte> bytes);
+    void tellBalancer(const Search& search, const fleet::FlowKey& key);
+    void toCaller(const fleet::FlowKey& flow, std::span<const std::byte> bytes);
+
+    boost::asio::io_context& m_loop;
+    RelayPathOptions m_options;
+    PacketSocket m_packets;
+    PacketSocket m_serverPackets;
+    PendingSearches m_pending;
+    std::uint32_t m_serverId = 0;
+    std::uint32_t m_incarnation = 0;
+    std::uint64_t m_seenVersion = 0;
+    // By RelayReason.
+    std::array<Counter*, 22> m_decisions {};
+};
+
+} // namespace clementinesill::passthrough
--- /dev/null
+++ b/src/passthrough/localserver.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "foundation/iclock.h"
+#include "passthrough/types/serverbeat.h"
+
+#include <optional>
+
+namespace clementinesill::passthrough {
+
+// What a heartbeat changed.
+enum class BeatChange {
+    None,
+    // Another start of the server, or another server: nothing of before is held.
+    NewStart,
+    DrainStarted,
+    DrainEnded,
+    // Sent by a start that a newer one has replaced, or overtaken by a later heartbeat.
+    Outdated,
+};
+
+// The server beside this agent, by its heartbeats. Confined to the agent's loop.
+class LocalServer {
+public:
+    // heartbeat is the time between two heartbeats.
+    LocalServer(const IClock& clock, Duration heartbeat)
+        : m_clock(clock)
+        , m_heartbeat(heartbeat)
+    {
+    }
+
+    BeatChange accept(const ServerBeat& beat);
+
+    // The server said that it ends; false if it is not the one that is known.
+    bool leave(const std::string& name);
+
+    // The server sent a packet: it lives.
+    void noteAlive() { m_lastHeard = m_clock.now(); }
+
+    // Whether the server takes new flows as far as it has said: known, not leaving, and not silent.
+    bool takesFlows() const { return m_beat && !m_beat->draining && !m_left && !silent(); }
+
+    // Neither heartbeats nor packets come: the server is dead or stuck.
+    bool silent() const { return m_beat && m_clock.now() - m_lastHeard > silenceBeats * m_heartbeat; }
+
+    bool known() const { return m_beat.has_value(); }
+    bool left() const { return m_left; }
+    const ServerBeat& beat() const { return *m_beat; }
+
+private:
+    // Heartbeats in a row that a live server may miss.
+    static constexpr int silenceBeats = 3;
+
+    bool olderStart(const ServerBeat& beat) const;
+    bool sameStart(const ServerBeat& beat) const;
+
+    const IClock& m_clock;
+    Duration m_heartbeat;
+    std::optional<ServerBeat> m_beat;
+    MonotonicTime m_lastHeard;
+    bool m_left = false;
+};
+
+} // namespace clementinesill::passthrough
--- /dev/null
+++ b/src/passthrough/relayrouter.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "foundation/iclock.h"
+#include "passthrough/types/relaydecision.h"
+
+#include <cstdint>
+#include <string>
+
+namespace clementinesill::agent {
+class IMissLog;
+struct TableView;
+} // namespace clementinesill::agent
+
+namespace clementinesill::fleet {
+struct RouteEntry;
+struct ServerEntry;
+} // namespace clementinesill::fleet
+
+namespace clementinesill::passthrough {
+
+class ColdLimit;
+class HeldFlows;
+class LocalServer;
+class ServerLoad;
+struct FlowPacket;
+struct Search;
+
+// What the router works with. The references must outlive it.
+struct RelayRouterOptions {
+    std::string zone;
+    HeldFlows& flows;
+    LocalServer& server;
+    ServerLoad& load;
+    ColdLimit& cold;
+    agent::IMissLog& misses;
+    const IClock& clock;
+    // Longest life of a flow: an agent that runs for longer knows all flows of its server.
+    Duration flowLifetime = std::chrono::seconds(60);
+    // How far behind the newest table a controller that confirms one may be.
+    Duration confirmationLag = std::chrono::milliseconds(500);
+};
+
+// Decides what an agent does with a caller's packet: whether its own server takes a new flow, and where the packet of a
+// flow that it does not hold goes on to. Confined to the agent's loop.
+class RelayRouter {
+public:
+    explicit RelayRouter(const RelayRouterOptions& options);
+
+    // The controllers' name for the server; 0 while it is not registered.
+    void setServer(std::uint32_t serverId, std::uint32_t serviceId);
+
+    // Takes no new flow while leaving is set.
+    void setLeaving(bool leaving) { m_leaving = leaving; }
+
+    // A packet that came from a balancer or another agent.
+    RelayDecision decide(const Search& search, const FlowPacket& packet, const agent::TableView& view);
+
+    // A packet that the server handed back.
+    RelayDecision decideHandedBack(const Search& search, const FlowPacket& packet, const agent::TableView& view);
+
+private:
+    RelayDecision open(const Search& search, const FlowPacket& packet, const agent::TableView& view);
+    RelayDecision passOpening(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason reason);
+    RelayDecision follow(const Search& search, const FlowPacket& packet, const agent::TableView& view);
+    RelayDecision passOn(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason reason);
+    RelayDecision endSearch(const Search& search, const FlowPacket& packet, const agent::TableView& view);
+    RelayReason obstacle(const Search& search, std::uint32_t serviceId, const agent::TableView& view);
+    std::uint32_t serviceFor(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
+    bool worthWaiting(const fleet::RouteEntry* route) const;
+    const fleet::ServerEntry* nextHolder(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
+
+    RelayRouterOptions m_options;
+    MonotonicTime m_start;
+    std::uint32_t m_serverId = 0;
+    std::uint32_t m_serviceId = 0;
+    bool m_leaving = false;
+};
+
+} // namespace clementinesill::passthrough
