Keep a controller that lost its disk as a learner

It had to ask for the log itself; its rounds asked the seeds only, and used the leader's name that they gave in the next round or not at all. Four seconds later two more disks were lost, and two of four members were left.

Ruled out: elections (none was possible), the disks (sound).

Change: the leader keeps such a controller as a learner, and a joiner asks the leader that it is told of in the same round.

--- a/src/control/internal/groupjoiner.cpp
+++ b/src/control/internal/groupjoiner.cpp
@@ -44,7 +44,10 @@
     schema::JoinRequest request;
     request.set_name(m_options.name);
     request.set_endpoint(m_options.endpoint);
-    for (const auto& target : targets()) {
+    auto targets = this->targets();
+    // A controller that does not lead names the one that does, which is asked in the same round.
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        const auto target = targets[index];
         const auto stub = peerStub(target, m_options.credentials);
         const auto response = co_await callPeer<schema::JoinResponse>(m_context, *stub, &schema::Peers::Stub::async_interface::Join, request, callTimeout, m_stopping);
         if (m_stopping || m_options.log.leaderHeard())
@@ -55,8 +58,11 @@
             log(LogLevel::Info, "join_accepted", { { .key = "leader", .value = target } });
             co_return;
         }
-        m_hint = response->leader_endpoint();
+        const auto& leader = response->leader_endpoint();
+        if (!leader.empty() && leader != m_options.endpoint && std::find(targets.begin(), targets.end(), leader) == targets.end())
+            targets.push_back(leader);
     }
+    log(LogLevel::Warn, "join_not_accepted", { { .key = "asked", .value = std::to_string(targets.size()) }, { .key = "reason", .value = "no controller that was asked leads" } });
 }
 
 std::vector<std::string> GroupJoiner::targets() const
@@ -66,7 +72,6 @@
         if (!endpoint.empty() && endpoint != m_options.endpoint && std::find(found.begin(), found.end(), endpoint) == found.end())
             found.push_back(endpoint);
     };
-    add(m_hint);
     for (const auto& peer : m_options.log.peers())
         add(peer.endpoint);
     for (const auto& seed : m_options.seeds())
--- a/src/control/internal/groupjoiner.h
+++ b/src/control/internal/groupjoiner.h
@@ -41,7 +41,6 @@
     boost::asio::io_context& m_context;
     GroupJoinerOptions m_options;
     Wakeup m_wakeup;
-    std::string m_hint;
     bool m_stopping = false;
 };
 
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -132,6 +132,8 @@
     if (known) {
         if (!quorumWithout(peer.name))
             return false;
+        // It goes on as a learner, and is admitted again once it holds the log.
+        m_joined[peer.name] = peer;
         removeMember(peer.name, "it lost its data folder");
         return true;
     }
