--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -14,11 +14,15 @@
 #include "platform/platform.h"
 #include "platform/platformpacket.h"
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <exception>
+#include <execinfo.h>
 #include <google/protobuf/util/message_differencer.h>
 #include <iostream>
+#include <sstream>
 #include <unistd.h>
 
 using namespace clementinesill;
@@ -26,6 +30,21 @@
 
 namespace {
 
+// Frames of the stack that a log line names when the process fails.
+constexpr int loggedFrames = 24;
+
+// Leaves the addresses of the failing thread's frames in the log before the process aborts; addr2line turns them into lines.
+[[noreturn]] void logAndAbort()
+{
+    std::array<void*, loggedFrames> frames {};
+    const auto count = backtrace(frames.data(), loggedFrames);
+    std::ostringstream addresses;
+    for (int frame = 0; frame < count; ++frame)
+        addresses << (frame ? " " : "") << frames.at(static_cast<std::size_t>(frame));
+    log(LogLevel::Error, "daemon_aborted", { { .key = "frames", .value = addresses.str() }, { .key = logkey::remedy, .value = "report this with the program's version" } });
+    std::abort();
+}
+
 sigset_t handledSignals()
 {
     sigset_t set;
@@ -185,6 +204,7 @@
         return static_cast<int>(ExitCode::Ok);
     }
     startLog(settings);
+    std::set_terminate(logAndAbort);
     serve(path, settings);
     return static_cast<int>(ExitCode::Ok);
 }
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -102,6 +102,7 @@
         co_return;
     }
     m_leases.renewed(request);
+    response.set_version(m_state.version());
     response.set_lease_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.serverLease).count()));
     if (!record->silent()) {
         response.mutable_outcome()->set_code(schema::Outcome::CODE_OK);
--- a/src/control/internal/controller.h
+++ b/src/control/internal/controller.h
@@ -4,8 +4,8 @@
 #include "control/flapdamping.h"
 #include "control/fleetstate.h"
 #include "control/icommandlog.h"
-#include "control/iversionedconfig.h"
 #include "control/internal/streamwriter.h"
+#include "control/iversionedconfig.h"
 #include "control/leasetracker.h"
 #include "control/tablefeed.h"
 
--- a/src/control/internal/controllermodule.cpp
+++ b/src/control/internal/controllermodule.cpp
@@ -10,9 +10,9 @@
 #include "net/ilistener.h"
 #include "settings.pb.h"
 
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
-#include <algorithm>
 #include <thread>
 
 namespace clementinesill::control {
--- a/src/control/internal/peerlink.cpp
+++ b/src/control/internal/peerlink.cpp
@@ -2,7 +2,6 @@
 
 #include "control/internal/peercall.h"
 
-
 namespace clementinesill::control {
 
 namespace {
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -1,9 +1,9 @@
 #include "control/internal/replicatedcommandlog.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <algorithm>
 #include <utility>
 
 namespace clementinesill::control {
--- /dev/null
+++ b/src/control/tests/configdocument.cpp
@@ -0,0 +1,108 @@
+#include "control/configdocument.h"
+
+#include "control/fleetstate.h"
+#include "fleet/tabledelta.h"
+
+#include <CppUTest/TestHarness.h>
+#include <google/protobuf/util/message_differencer.h>
+
+using namespace clementinesill;
+using namespace clementinesill::control;
+
+namespace {
+
+schema::Command documentCommand(std::uint64_t version, const std::string& text, std::initializer_list<const char*> endpoints)
+{
+    schema::Command command;
+    auto& document = *command.mutable_document();
+    document.set_version(version);
+    document.set_text(text);
+    document.add_services()->set_name("desk");
+    document.add_services()->set_name("gallery");
+    for (const auto* endpoint : endpoints) {
+        auto& route = *document.add_routes();
+        route.set_endpoint(endpoint);
+        route.add_targets()->set_service_id(1);
+        route.mutable_targets(0)->set_weight(1);
+    }
+    return command;
+}
+
+schema::Command zoneCommand(const std::string& zone, schema::ZoneState state)
+{
+    schema::Command command;
+    command.mutable_zone()->set_zone(zone);
+    command.mutable_zone()->set_state(state);
+    command.mutable_zone()->set_create(true);
+    return command;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(ConfigDocument)
+{
+    FleetState state;
+};
+// clang-format on
+
+TEST(ConfigDocument, HighestVersionIsInForceAndOthersAreAcceptedWithoutEffect)
+{
+    CHECK(state.apply(documentCommand(4, "four", { "198.18.0.1:80" })).code == schema::Outcome::CODE_OK);
+    const auto version = state.version();
+    CHECK(state.apply(documentCommand(4, "another four", { "198.18.0.1:81" })).code == schema::Outcome::CODE_OK);
+    CHECK(state.apply(documentCommand(3, "three", {})).code == schema::Outcome::CODE_OK);
+    LONGS_EQUAL(version, state.version());
+    LONGS_EQUAL(4, state.document().version());
+    STRCMP_EQUAL("four", state.document().text().c_str());
+    state.apply(documentCommand(9, "nine", {}));
+    STRCMP_EQUAL("nine", state.document().text().c_str());
+    LONGS_EQUAL(0, state.table().routes_size());
+}
+
+TEST(ConfigDocument, RoutesLeadToTheServicesTheyName)
+{
+    state.apply(documentCommand(1, "one", { "198.18.0.1:80" }));
+    const auto table = state.table();
+    const auto target = table.routes(0).targets(0).service_id();
+    for (const auto& service : table.services()) {
+        if (service.id() == target)
+            STRCMP_EQUAL("gallery", service.name().c_str());
+    }
+    LONGS_EQUAL(1, table.document_version());
+}
+
+TEST(ConfigDocument, ADeltaGivesTheSameTableAsTheWhole)
+{
+    state.apply(documentCommand(1, "one", { "198.18.0.1:80", "198.18.0.1:81" }));
+    auto table = state.table();
+    state.apply(documentCommand(2, "two", { "198.18.0.1:81", "198.18.0.1:82" }));
+    const auto update = state.updateFrom(table.version());
+    CHECK(update->has_delta());
+    CHECK(fleet::applyDelta(table, update->delta()));
+    google::protobuf::util::MessageDifferencer differencer;
+    differencer.set_repeated_field_comparison(google::protobuf::util::MessageDifferencer::AS_SET);
+    CHECK(differencer.Compare(table, state.table()));
+}
+
+TEST(ConfigDocument, SurvivesASnapshot)
+{
+    state.apply(documentCommand(7, "seven", { "198.18.0.1:80" }));
+    state.apply(zoneCommand("kat-a", schema::ZONE_STATE_OUT));
+    FleetState restored;
+    restored.restore(state.snapshot());
+    STRCMP_EQUAL("seven", restored.document().text().c_str());
+    LONGS_EQUAL(7, restored.document().version());
+    LONGS_EQUAL(1, restored.table().routes_size());
+    CHECK(restored.zones().at("kat-a").state() == schema::ZONE_STATE_OUT);
+}
+
+TEST(ConfigDocument, AZoneOrderMayComeBeforeTheZoneIsKnownAndMoreThanOnce)
+{
+    CHECK(state.apply(zoneCommand("kat-a", schema::ZONE_STATE_OUT)).code == schema::Outcome::CODE_OK);
+    const auto version = state.version();
+    CHECK(state.apply(zoneCommand("kat-a", schema::ZONE_STATE_OUT)).code == schema::Outcome::CODE_OK);
+    LONGS_EQUAL(version, state.version());
+    CHECK(state.apply(zoneCommand("kat-a", schema::ZONE_STATE_IN)).code == schema::Outcome::CODE_OK);
+    CHECK(state.zones().at("kat-a").state() == schema::ZONE_STATE_IN);
+}
--- a/src/control/tests/replicagroup.h
+++ b/src/control/tests/replicagroup.h
@@ -7,6 +7,7 @@
 #include "testing/manualclock.h"
 #include "tests/fakefilesystem.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <set>
@@ -61,8 +62,12 @@
         std::optional<clementinesill::control::PeerAnswer> answer;
     };
 
-    explicit ReplicaGroup(std::size_t count, std::uint64_t seed = 1)
+    // Changes the options of each replica at its start.
+    using Configure = std::function<void(std::size_t index, clementinesill::control::ReplicatedLogOptions& options)>;
+
+    explicit ReplicaGroup(std::size_t count, std::uint64_t seed = 1, Configure configure = {})
         : random(seed)
+        , m_configure(std::move(configure))
     {
         for (std::size_t index = 0; index < count; ++index) {
             auto& replica = replicas.emplace_back(std::make_unique<Replica>());
@@ -106,6 +111,8 @@
         options.snapshotEntries = 8;
         options.keptEntries = 2;
         options.batchBytes = batchBytes;
+        if (m_configure)
+            m_configure(index, options);
         try {
             replica.log = std::make_unique<clementinesill::control::ReplicatedLog>(options, clock, random, *replica.storage, replica.machine);
         } catch (const FakeFileSystem::PowerLoss&) {
@@ -129,6 +136,10 @@
                 if (to == from)
                     continue;
                 on(from, [&](auto& log) {
+                    const auto peers = log.peers();
+                    const bool linked = std::any_of(peers.begin(), peers.end(), [&](const auto& peer) { return peer.name == replicas[to]->name; });
+                    if (!linked)
+                        return;
                     if (auto message = log.nextMessage(replicas[to]->name))
                         queue.push_back({ .from = from, .to = to, .message = std::move(*message), .answer = {} });
                 });
@@ -228,6 +239,8 @@
     std::function<bool(const Message&)> lose;
 
 private:
+    Configure m_configure;
+
     static clementinesill::control::PeerAnswer answer(clementinesill::control::ReplicatedLog& log, const clementinesill::control::PeerMessage& message)
     {
         using namespace clementinesill;
--- a/src/dataplane/tests/balancerworker.cpp
+++ b/src/dataplane/tests/balancerworker.cpp
@@ -51,6 +51,7 @@
         ++reads;
         return held;
     }
+    MonotonicTime leaderConfirmedAt() const override { return {}; }
     MonotonicTime confirmedAt() const override { return {}; }
     void noteNewerVersion(std::uint64_t) override { }
 
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -362,7 +362,10 @@
 
 bool GrpcFleetClient::renew(const schema::RenewRequest& request)
 {
+    const auto asked = m_clock.now();
     const auto response = call(&Stub::Renew, request, renewTimeout);
+    if (response.outcome().code() == schema::Outcome::CODE_OK)
+        m_holder.confirmByLeader(response.version(), asked);
     return response.outcome().code() == schema::Outcome::CODE_OK;
 }
 
--- a/src/fleet/internal/tableholder.cpp
+++ b/src/fleet/internal/tableholder.cpp
@@ -27,12 +27,27 @@
     return m_table.load();
 }
 
+namespace {
+
+// Times never go back.
+void raise(std::atomic<MonotonicTime>& held, MonotonicTime at)
+{
+    auto before = held.load();
+    while (at > before && !held.compare_exchange_weak(before, at)) { }
+}
+
+} // namespace
+
 void TableHolder::confirm(std::uint64_t version, MonotonicTime at)
 {
-    if (version != m_table.load()->version())
-        return;
-    auto confirmed = m_confirmedAt.load();
-    while (at > confirmed && !m_confirmedAt.compare_exchange_weak(confirmed, at)) { }
+    if (version == m_table.load()->version())
+        raise(m_confirmedAt, at);
+}
+
+void TableHolder::confirmByLeader(std::uint64_t version, MonotonicTime asked)
+{
+    if (version <= m_table.load()->version())
+        raise(m_leaderConfirmedAt, asked);
 }
 
 void TableHolder::noteNewerVersion(std::uint64_t version)
--- a/src/fleet/itablesource.h
+++ b/src/fleet/itablesource.h
@@ -20,6 +20,9 @@
     // When a controller with a live lease last said that no version newer than the one held exists; the epoch if never.
     virtual MonotonicTime confirmedAt() const = 0;
 
+    // When the leader last said so itself: no newer version was accepted before this time; the epoch if never.
+    virtual MonotonicTime leaderConfirmedAt() const = 0;
+
     // Tells that a peer's packet carried a newer version than the one held.
     virtual void noteNewerVersion(std::uint64_t version) = 0;
 };
--- a/src/fleet/tests/controllerchoice.cpp
+++ b/src/fleet/tests/controllerchoice.cpp
@@ -47,3 +47,27 @@
     choice.follow("elsewhere");
     STRCMP_EQUAL("b", choice.current().c_str());
 }
+
+TEST(ControllerChoice, AHintIsFollowedAtOnceAlsoAfterFailures)
+{
+    for (int failure = 0; failure < 5; ++failure)
+        choice.failed();
+    const std::string other = choice.current() == "a" ? "b" : "a";
+    CHECK(choice.follow(other) == Duration::zero());
+}
+
+TEST(ControllerChoice, AnUrgentDaemonAsksAgainSoon)
+{
+    choice.setLongestBackoff(std::chrono::milliseconds(150));
+    for (int failure = 0; failure < 20; ++failure)
+        CHECK(choice.failed() <= std::chrono::milliseconds(150));
+}
+
+TEST(ControllerChoice, KeepsTheCurrentControllerWhenOthersAreLearnt)
+{
+    const auto current = choice.current();
+    choice.replaceEndpoints({ "d", "e", current });
+    STRCMP_EQUAL(current.c_str(), choice.current().c_str());
+    choice.replaceEndpoints({ "f" });
+    STRCMP_EQUAL("f", choice.current().c_str());
+}
--- a/src/passthrough/heldflows.h
+++ b/src/passthrough/heldflows.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "fleet/types/flowkey.h"
 #include "passthrough/serverload.h"
 #include "passthrough/types/heldflow.h"
-#include "fleet/types/flowkey.h"
 
 #include <cstddef>
 #include <unordered_map>
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -16,13 +16,13 @@
 #include "passthrough/relayrouter.h"
 #include "settings.pb.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <algorithm>
 #include <thread>
 
 namespace clementinesill::passthrough {
@@ -53,7 +53,7 @@
         , m_cold(m_clock, { .factor = m_settings.cold_factor(), .extraFlows = m_settings.cold_extra_flows() })
         , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()) })
         , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .cold = m_cold, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()) })
-        , m_path(m_loop, { .packets = parseEndpoint(m_settings.packet_endpoint()), .serverPackets = parseEndpoint(m_settings.server_packets_endpoint()), .server = parseEndpoint(settings.agent().server_endpoint()), .format = format, .router = m_router, .flows = m_flows, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .tableSeen = [this](const auto& table) { followTable(table); } })
+        , m_path(m_loop, { .packets = parseEndpoint(m_settings.packet_endpoint()), .serverPackets = parseEndpoint(m_settings.server_packets_endpoint()), .server = parseEndpoint(settings.agent().server_endpoint()), .format = format, .router = m_router, .flows = m_flows, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .tableSeen = [this](const auto& table) { followTable(table); }, .wantConfirmation = [this] { m_link->renewSoon(); }, .clock = m_clock })
     {
     }
 
@@ -63,9 +63,8 @@
     {
         m_path.start();
         asio::co_spawn(m_loop, review(), asio::detached);
-        m_link = std::make_unique<ServerLink>(m_fleet, m_settings.packet_endpoint(), [this](const auto& registration) {
-            asio::post(m_loop, [this, registration] { onRegistered(registration); });
-        });
+        m_link = std::make_unique<ServerLink>(
+            m_fleet, m_settings.packet_endpoint(), [this](const auto& registration) { asio::post(m_loop, [this, registration] { onRegistered(registration); }); }, [this] { asio::post(m_loop, [this] { m_path.confirmed(); }); });
         m_thread = std::thread([this] { m_loop.run(); });
         m_beatListener = m_makeBeatListener(m_settings.control_endpoint(), *this);
         m_readyListener = m_makeReadyListener(m_settings.ready_endpoint(), [this] { return m_fleet.tables().table()->documentVersion() != 0; });
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -14,11 +14,11 @@
 #include "passthrough/passthroughmodules.h"
 #include "settings.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <thread>
 
 namespace clementinesill::passthrough {
--- a/src/passthrough/internal/relaypath.cpp
+++ b/src/passthrough/internal/relaypath.cpp
@@ -21,6 +21,8 @@
 
 // Packets at the server at once whose searches can go on; some seconds of a busy server.
 constexpr std::size_t pendingCapacity = 2048;
+// Packets that wait for the leader's word at once.
+constexpr std::size_t endedCapacity = 512;
 
 } // namespace
 
@@ -30,6 +32,7 @@
     , m_packets(loop, options.packets)
     , m_serverPackets(loop, options.serverPackets)
     , m_pending(pendingCapacity)
+    , m_ended(options.clock, endedCapacity)
 {
     for (std::size_t reason = 0; reason < m_decisions.size(); ++reason)
         m_decisions[reason] = &options.metrics.counter("relay_packets_total", { { "reason", std::string(name(static_cast<RelayReason>(reason))) } });
@@ -69,7 +72,7 @@
     if (message.route->tableVersion > table->version())
         m_options.tables.noteNewerVersion(message.route->tableVersion);
     const Search search { .route = *message.route, .visited = message.visited };
-    const auto decision = m_options.router.decide(search, *packet, { .table = *table, .confirmedAt = m_options.tables.confirmedAt() });
+    const auto decision = m_options.router.decide(search, *packet, view(*table));
     carryOut(decision, search, *packet, bytes);
 }
 
@@ -101,7 +104,7 @@
         search.route = { .tableVersion = table->version(), .serviceId = self ? self->serviceId : 0, .serverId = m_serverId, .incarnation = m_incarnation, .balancer = {}, .ingress = {} };
     }
     m_options.format.mark(datagram, 0);
-    carryOut(m_options.router.decideHandedBack(search, packet, { .table = *table, .confirmedAt = m_options.tables.confirmedAt() }), search, packet, datagram);
+    carryOut(m_options.router.decideHandedBack(search, packet, view(*table)), search, packet, datagram);
 }
 
 void RelayPath::carryOut(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::span<std::byte> bytes)
@@ -124,10 +127,33 @@
         toCaller(packet.key, m_options.format.reset(packet));
         return;
     case RelayAction::Drop:
+        if (decision.reason == RelayReason::TableUnconfirmed) {
+            m_ended.add(packet, search);
+            m_options.wantConfirmation();
+        }
         return;
     }
 }
 
+agent::TableView RelayPath::view(const fleet::FleetTable& table) const
+{
+    return { .table = table, .confirmedAt = m_options.tables.leaderConfirmedAt() };
+}
+
+void RelayPath::confirmed()
+{
+    const auto table = m_options.tables.table();
+    for (const auto& ended : m_ended.take()) {
+        const auto decision = m_options.router.endSearch(ended.search, ended.packet, view(*table));
+        if (decision.action == RelayAction::Reset)
+            carryOut(decision, ended.search, ended.packet, {});
+        else
+            m_ended.keep(ended);
+    }
+    if (!m_ended.empty())
+        m_options.wantConfirmation();
+}
+
 void RelayPath::deliver(const FlowPacket& packet, std::span<std::byte> bytes, std::uint32_t mark)
 {
     m_options.flows.noteCaller(packet);
--- a/src/passthrough/internal/relaypath.h
+++ b/src/passthrough/internal/relaypath.h
@@ -1,16 +1,21 @@
 #pragma once
 
 #include "foundation/metrics.h"
+#include "passthrough/endedsearches.h"
 #include "passthrough/internal/packetsocket.h"
 #include "passthrough/pendingsearches.h"
 #include "passthrough/types/relaydecision.h"
 
 #include <array>
 
+namespace clementinesill::agent {
+struct TableView;
+}
+
 namespace clementinesill::fleet {
 class FleetTable;
 class ITableSource;
-}
+} // namespace clementinesill::fleet
 
 namespace clementinesill::passthrough {
 
@@ -35,6 +40,9 @@
     MetricsRegistry& metrics;
     // Called before the first packet that a newer table decides.
     std::function<void(const fleet::FleetTable&)> tableSeen;
+    // Called when the leader's word on the table is wanted; answered by confirmed().
+    std::function<void()> wantConfirmation;
+    const IClock& clock;
 };
 
 // Carries packets between daemons, the server beside this agent and callers, as the router decides.
@@ -46,6 +54,9 @@
     // Starts to read both sockets.
     void start();
 
+    // The leader was asked: searches that have ended are looked at again.
+    void confirmed();
+
     // Tells the balancers and agents where flows are by this name.
     void setServer(std::uint32_t serverId, std::uint32_t incarnation);
 
@@ -55,6 +66,7 @@
     void onHandedBack(std::span<std::byte> datagram, const FlowPacket& packet);
     void carryOut(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::span<std::byte> bytes);
     void deliver(const FlowPacket& packet, std::span<std::byte> bytes, std::uint32_t mark);
+    agent::TableView view(const fleet::FleetTable& table) const;
     void passOn(const RelayDecision& decision, Search search, std::span<const std::byte> bytes);
     void tellBalancer(const Search& search, const fleet::FlowKey& key);
     void toCaller(const fleet::FlowKey& flow, std::span<const std::byte> bytes);
@@ -64,6 +76,7 @@
     PacketSocket m_packets;
     PacketSocket m_serverPackets;
     PendingSearches m_pending;
+    EndedSearches m_ended;
     std::uint32_t m_serverId = 0;
     std::uint32_t m_incarnation = 0;
     std::uint64_t m_seenVersion = 0;
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -147,6 +147,7 @@
         return drop(RelayReason::SearchBounded);
     if (const auto* server = nextHolder(search, packet, view))
         return passTo(*server, reason);
+    m_options.misses.note(packet.key, packet.sequence, m_options.clock.now());
     return endSearch(search, packet, view);
 }
 
@@ -180,7 +181,7 @@
     if (senderIsNewer(search, view))
         return drop(RelayReason::TableTooOld);
     const auto firstMiss = m_options.misses.note(packet.key, packet.sequence, m_options.clock.now());
-    if (view.confirmedAt < firstMiss + m_options.confirmationLag)
+    if (view.confirmedAt <= firstMiss || nextHolder(search, packet, view))
         return drop(RelayReason::TableUnconfirmed);
     return reset(RelayReason::HeldByNobody);
 }
--- a/src/passthrough/internal/serverlink.cpp
+++ b/src/passthrough/internal/serverlink.cpp
@@ -10,6 +10,8 @@
 
 // A lease lasts 3 s; two renewals may be lost.
 constexpr std::chrono::milliseconds renewInterval { 1000 };
+// Keeps an agent that waits for the leader's word below 20 renewals a second.
+constexpr std::chrono::milliseconds renewSoonDelay { 50 };
 
 // The same for each heartbeat of one start, also over restarts of this agent.
 std::uint64_t bootId(const ServerBeat& beat)
@@ -19,10 +21,11 @@
 
 } // namespace
 
-ServerLink::ServerLink(fleet::IFleetClient& client, std::string endpoint, Registered registered)
+ServerLink::ServerLink(fleet::IFleetClient& client, std::string endpoint, Registered registered, Renewed renewed)
     : m_client(client)
     , m_endpoint(std::move(endpoint))
     , m_registered(std::move(registered))
+    , m_renewed(std::move(renewed))
     , m_thread([this] { run(); })
 {
 }
@@ -52,6 +55,15 @@
     m_wake.notify_all();
 }
 
+void ServerLink::renewSoon()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_renewSoon = true;
+    }
+    m_wake.notify_all();
+}
+
 void ServerLink::stop()
 {
     {
@@ -67,10 +79,14 @@
 {
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
-        m_wake.wait_for(lock, renewInterval, [this] { return m_stopping || m_changed; });
+        m_wake.wait_for(lock, renewInterval, [this] { return m_stopping || m_changed || m_renewSoon; });
+        // Requests to renew soon come in a burst: one renewal answers them all.
+        if (m_renewSoon && !m_changed)
+            m_wake.wait_for(lock, renewSoonDelay, [this] { return m_stopping || m_changed; });
         if (m_stopping)
             return;
         m_changed = false;
+        m_renewSoon = false;
         const auto wanted = m_wanted;
         lock.unlock();
         try {
@@ -101,7 +117,9 @@
     request.set_server_id(m_registration.serverId);
     request.set_incarnation(m_registration.incarnation);
     request.set_healthy(true);
-    if (!m_client.renew(request))
+    if (m_client.renew(request))
+        m_renewed();
+    else
         m_bootId = 0;
 }
 
--- a/src/passthrough/internal/serverlink.h
+++ b/src/passthrough/internal/serverlink.h
@@ -19,15 +19,20 @@
 public:
     // Called from the link's thread.
     using Registered = std::function<void(const fleet::Registration&)>;
+    using Renewed = std::function<void()>;
 
-    // The client must outlive the link. endpoint is where the other daemons' packets arrive.
-    ServerLink(fleet::IFleetClient& client, std::string endpoint, Registered registered);
+    // The client must outlive the link. endpoint is where the other daemons' packets arrive. renewed is called after each
+    // renewal, which confirms the table.
+    ServerLink(fleet::IFleetClient& client, std::string endpoint, Registered registered, Renewed renewed);
     ~ServerLink();
 
     // What the controllers are to know from now on.
     void setServer(const ServerBeat& beat);
     void setGone();
 
+    // Renews soon, for the leader's word on the table.
+    void renewSoon();
+
     void stop();
 
 private:
@@ -44,11 +49,13 @@
     fleet::IFleetClient& m_client;
     std::string m_endpoint;
     Registered m_registered;
+    Renewed m_renewed;
     std::mutex m_mutex;
     std::condition_variable m_wake;
     // Guarded by m_mutex.
     Wanted m_wanted;
     bool m_changed = false;
+    bool m_renewSoon = false;
     bool m_stopping = false;
     // Of the link's thread.
     fleet::Registration m_registration;
--- a/src/passthrough/relayrouter.h
+++ b/src/passthrough/relayrouter.h
@@ -36,8 +36,6 @@
     const IClock& clock;
     // Longest life of a flow: an agent that runs for longer knows all flows of its server.
     Duration flowLifetime = std::chrono::seconds(60);
-    // How far behind the newest table a controller that confirms one may be.
-    Duration confirmationLag = std::chrono::milliseconds(500);
 };
 
 // Decides what an agent does with a caller's packet: whether its own server takes a new flow, and where the packet of a
@@ -60,12 +58,15 @@
     // A packet that the server handed back.
     RelayDecision decideHandedBack(const Search& search, const FlowPacket& packet, const agent::TableView& view);
 
+    // A packet whose search has ended without a holder, looked at again: the caller is told once the leader has confirmed,
+    // after the flow was first missed, that no server exists which was not asked.
+    RelayDecision endSearch(const Search& search, const FlowPacket& packet, const agent::TableView& view);
+
 private:
     RelayDecision open(const Search& search, const FlowPacket& packet, const agent::TableView& view);
     RelayDecision passOpening(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason reason);
     RelayDecision follow(const Search& search, const FlowPacket& packet, const agent::TableView& view);
     RelayDecision passOn(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason reason);
-    RelayDecision endSearch(const Search& search, const FlowPacket& packet, const agent::TableView& view);
     RelayReason obstacle(const Search& search, std::uint32_t serviceId, const agent::TableView& view);
     std::uint32_t serviceFor(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
     bool worthWaiting(const fleet::RouteEntry* route) const;
