Give options, results and other small types headers of their own

One class a header, as the house style says: 33 headers held an options or result struct beside their class. Nothing else changes.

--- a/src/admission/queuedadmission.h
+++ b/src/admission/queuedadmission.h
@@ -2,19 +2,13 @@
 
 #include "admission/iadmission.h"
 #include "admission/requestqueue.h"
+#include "admission/types/entrydecision.h"
 
 #include <optional>
 #include <vector>
 
 namespace clementinesill::admission {
 
-// What became of a request that asked to start: admitted, queued at a place, or refused.
-struct EntryDecision {
-    AdmissionDecision decision;
-    // Set if it is queued; the decision then tells why it did not start at once.
-    std::optional<QueuePlace> place;
-};
-
 // Admission with the short queue before it: requests that find no slot wait for one within the queue's bound.
 class QueuedAdmission {
 public:
--- a/src/admission/requestqueue.h
+++ b/src/admission/requestqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/types/queueoptions.h"
+#include "admission/types/queueplace.h"
 
 #include <array>
 #include <cstdint>
@@ -14,12 +15,6 @@
     Normal,
 };
 
-// A queued request: its number, and how long it may wait before it is refused.
-struct QueuePlace {
-    std::uint64_t id = 0;
-    Duration longestWait { 0 };
-};
-
 // Short queue bounded by time, after CoDel: it takes up bursts and shortens its bound once it never empties.
 //
 // High priority goes first; within a priority the order is that of arrival.
--- a/src/admission/types/admissiondecision.h
+++ b/src/admission/types/admissiondecision.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "admission/types/admissionload.h"
+
 #include <chrono>
 #include <cstdint>
 
@@ -48,13 +50,4 @@
     RequestKind kind = RequestKind::Read;
 };
 
-// What a backend server carries now.
-struct AdmissionLoad {
-    std::uint32_t flows = 0;
-    std::uint32_t requests = 0;
-    std::uint32_t queued = 0;
-    // Requests admitted at once at most.
-    std::uint32_t limit = 0;
-};
-
 } // namespace clementinesill::admission
--- a/src/agent/internal/agentreport.h
+++ b/src/agent/internal/agentreport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admin/iadminsource.h"
+#include "agent/internal/agentreportoptions.h"
 #include "agent/types/serveridentity.h"
 #include "fleet/types/flowkey.h"
 
@@ -29,18 +30,6 @@
 class IFlowTable;
 struct FlowEntry;
 
-// What the report reads. The references must outlive it.
-struct AgentReportOptions {
-    ServerIdentity identity;
-    std::string service;
-    std::string server;
-    const IFlowTable& flows;
-    const admission::IAdmission& admission;
-    const fleet::ITableSource& tables;
-    const admin::DecisionTrace& trace;
-    const IClock& clock;
-};
-
 // What the agent tells on its admin endpoint. Asked on the endpoint's thread, it reads the agent's state on the loop.
 class AgentReport final : public admin::IAdminSource {
 public:
--- a/src/agent/internal/flowrouter.h
+++ b/src/agent/internal/flowrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/iflowrouter.h"
+#include "agent/internal/flowrouteroptions.h"
 #include "agent/types/serveridentity.h"
 #include "foundation/iclock.h"
 
@@ -20,21 +21,6 @@
 class IMissLog;
 struct FlowEntry;
 
-// What the router works with. The references must outlive it.
-struct FlowRouterOptions {
-    ServerIdentity identity;
-    IFlowTable& flows;
-    IMissLog& misses;
-    admission::IAdmission& admission;
-    const IClock& clock;
-    // Half-open flows held at once; one more ends the oldest.
-    std::size_t halfOpenLimit = 256;
-    // Takes a flow that every server refused if the connection limit allows: its protocol can tell when to come back.
-    bool answersRefusals = false;
-    // How far behind the newest table a controller that confirms one may be.
-    Duration confirmationLag = std::chrono::seconds(2);
-};
-
 // Routes by the flow table; what is not held goes along the rank order until every server was asked.
 class FlowRouter final : public IFlowRouter {
 public:
--- a/src/agent/internal/packetpath.h
+++ b/src/agent/internal/packetpath.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/internal/packetpathoptions.h"
 #include "agent/types/serveridentity.h"
 #include "foundation/metrics.h"
 #include "tcpstack/ipacketsink.h"
@@ -33,18 +34,6 @@
 class IFlowTable;
 struct FlowDecision;
 
-// What the packet path works with. The references must outlive it.
-struct PacketPathOptions {
-    Endpoint endpoint;
-    ServerIdentity identity;
-    IFlowRouter& router;
-    IFlowTable& flows;
-    fleet::ITableSource& tables;
-    MetricsRegistry& metrics;
-    // Takes every decision but to deliver a held flow's packet.
-    admin::DecisionTrace& trace;
-};
-
 // Takes the agent's datagrams from its socket, carries out what the router decides, and sends the stack's packets out.
 class PacketPath final : public tcpstack::IPacketSink {
 public:
--- a/src/agent/internal/serverregistration.h
+++ b/src/agent/internal/serverregistration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/internal/serverreport.h"
 #include "control.pb.h"
 #include "fleet/ifleetclient.h"
 
@@ -10,14 +11,6 @@
 
 namespace clementinesill::agent {
 
-// What the controllers are told with each renewal.
-struct ServerReport {
-    std::uint32_t inProgress = 0;
-    std::uint32_t flows = 0;
-    bool healthy = true;
-    std::uint32_t warmupLimit = 0;
-};
-
 // Registers the server and renews its lease on a thread of its own, so that a slow controller delays no packet.
 // report may be called from any thread.
 class ServerRegistration {
--- a/src/agent/internal/serverwatch.h
+++ b/src/agent/internal/serverwatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/internal/serverwatchoptions.h"
 #include "agent/serverhealth.h"
 #include "foundation/irandom.h"
 #include "foundation/types/endpoint.h"
@@ -12,15 +13,6 @@
 
 namespace clementinesill::agent {
 
-// How the backend server's health endpoint is looked at.
-struct ServerWatchOptions {
-    Endpoint server;
-    std::string healthPath;
-    std::chrono::milliseconds interval { 1000 };
-    // Longest wait for an answer.
-    std::chrono::milliseconds timeout { 500 };
-};
-
 // Probes the health endpoint until the loop ends, at jittered intervals.
 class ServerWatch {
 public:
--- a/src/agent/types/flowserveroptions.h
+++ b/src/agent/types/flowserveroptions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/types/keepaliveoptions.h"
 #include "agent/types/serveridentity.h"
 
 #include <chrono>
@@ -22,15 +23,6 @@
 
 class IFlowTable;
 
-// How a silent peer is found.
-struct KeepaliveOptions {
-    // Silence before the first probe.
-    std::chrono::milliseconds idle { 30000 };
-    std::chrono::milliseconds interval { 5000 };
-    // Unanswered probes after which the connection is broken.
-    unsigned count = 4;
-};
-
 // What the flow server works with. The references must outlive it.
 struct FlowServerOptions {
     ServerIdentity identity;
--- a/src/control/flapdamping.h
+++ b/src/control/flapdamping.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/types/flapdampingoptions.h"
 #include "foundation/iclock.h"
 #include "log.pb.h"
 
@@ -11,14 +12,6 @@
 
 class ServerRegistry;
 
-struct FlapDampingOptions {
-    // Time in which a penalty halves.
-    Duration halfLife = std::chrono::seconds(30);
-    // Penalty, in flaps, from which a server takes no new flows, and below which it does again.
-    double suppressAt = 2.5;
-    double releaseBelow = 1.0;
-};
-
 // Keeps new flows away from servers that come and go too often. A flap is a new start, a return from silence or a return
 // to the table. Soft state of the leader.
 class FlapDamping {
--- a/src/control/ilogstorage.h
+++ b/src/control/ilogstorage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/types/storedlog.h"
 #include "log.pb.h"
 
 #include <cstdint>
@@ -9,15 +10,6 @@
 
 namespace clementinesill::control {
 
-// What a controller's data folder held when it was opened.
-struct StoredLog {
-    std::uint64_t diskIdentity = 0;
-    schema::VoteRecord vote;
-    schema::SnapshotRecord snapshot;
-    // Entries after the snapshot.
-    std::vector<schema::LogEntry> entries;
-};
-
 // Durable part of the replicated log. Every function returns once its effect would survive a loss of power, and throws
 // Error (Storage) otherwise; after that the controller must not go on.
 class ILogStorage {
--- a/src/control/internal/controller.h
+++ b/src/control/internal/controller.h
@@ -4,6 +4,7 @@
 #include "control/flapdamping.h"
 #include "control/fleetstate.h"
 #include "control/icommandlog.h"
+#include "control/internal/controlleroptions.h"
 #include "control/internal/streamwriter.h"
 #include "control/iversionedconfig.h"
 #include "control/leasetracker.h"
@@ -16,10 +17,6 @@
 
 namespace clementinesill::control {
 
-struct ControllerOptions {
-    Duration serverLease = std::chrono::seconds(3);
-};
-
 // What the controllers answer to daemons and operators. One coroutine runs for each call; all of them, and everything
 // here, stay on the control thread.
 class Controller final : public IVersionedConfig {
--- a/src/control/internal/groupjoiner.h
+++ b/src/control/internal/groupjoiner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/internal/groupjoineroptions.h"
 #include "control/internal/wakeup.h"
 #include "control/replicatedlog.h"
 
@@ -14,16 +15,6 @@
 
 namespace clementinesill::control {
 
-// What a joiner works with. The references must outlive it.
-struct GroupJoinerOptions {
-    std::string name;
-    std::string endpoint;
-    ReplicatedLog& log;
-    // gRPC endpoints to ask first; called again for each round.
-    std::function<std::vector<std::string>()> seeds;
-    std::shared_ptr<grpc::ChannelCredentials> credentials;
-};
-
 // Asks the other controllers to be sent the log while no leader is heard.
 class GroupJoiner {
 public:
--- a/src/control/ireplicatedlog.h
+++ b/src/control/ireplicatedlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/types/peermessage.h"
+#include "control/types/proposal.h"
 #include "control/types/replicapeer.h"
 
 #include <cstdint>
@@ -22,14 +23,6 @@
 
 std::string_view name(ReplicaRole role);
 
-// Where a proposed command stands in the log, or why it does not.
-struct Proposal {
-    // 0 if it was not taken.
-    std::uint64_t index = 0;
-    std::uint64_t term = 0;
-    std::string reason;
-};
-
 // One controller's part of the replicated log. Whoever drives it calls tick() often, sends what nextMessage() gives for
 // each peer (one message at a time), and hands over what arrives. Not thread-safe.
 class IReplicatedLog {
--- a/src/control/leasetracker.h
+++ b/src/control/leasetracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control.pb.h"
+#include "control/types/leasetrackeroptions.h"
 #include "foundation/iclock.h"
 #include "log.pb.h"
 
@@ -12,13 +13,6 @@
 
 class ServerRegistry;
 
-struct LeaseTrackerOptions {
-    // A server that has not renewed for this long takes no new flows.
-    Duration lease = std::chrono::seconds(3);
-    // Leases without a renewal after which a silent server is removed.
-    int expiryLeases = 5;
-};
-
 // Soft state of the leader: when each server last renewed, and which transitions follow from that.
 class LeaseTracker {
 public:
--- a/src/control/replication.h
+++ b/src/control/replication.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/types/peerprogress.h"
 #include "foundation/iclock.h"
 #include "log.pb.h"
 
@@ -9,17 +10,6 @@
 
 namespace clementinesill::control {
 
-// What a leader knows of one peer.
-struct PeerProgress {
-    // Data folder that answered last; 0 before the first answer. Only the folder that the membership names is counted.
-    std::uint64_t diskIdentity = 0;
-    std::uint64_t nextIndex = 1;
-    std::uint64_t matchIndex = 0;
-    // When the newest acknowledged message was sent.
-    MonotonicTime acknowledgedSend;
-    MonotonicTime nextHeartbeat;
-};
-
 // A leader's bookkeeping: which entries a majority holds and how long its lease lasts.
 class Replication {
 public:
--- a/src/control/tablefeed.h
+++ b/src/control/tablefeed.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "control/types/feeddecision.h"
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -13,23 +15,6 @@
 class ICommandLog;
 class IFleetState;
 
-// What to tell a daemon that watches the table.
-struct FeedDecision {
-    enum class Action {
-        Send,
-        // Nothing to tell yet: this controller is behind the daemon.
-        Wait,
-        // The daemon is to ask another controller; reason tells why.
-        Refuse,
-    };
-
-    Action action = Action::Wait;
-    std::shared_ptr<const schema::TableUpdate> update;
-    // Version the daemon holds once it has the update.
-    std::uint64_t version = 0;
-    std::string reason;
-};
-
 // Decides for each watching daemon what it is told, by the version it holds.
 class TableFeed {
 public:
--- a/src/control/tablehistory.h
+++ b/src/control/tablehistory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "control/types/tablechange.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -9,19 +11,6 @@
 
 namespace clementinesill::control {
 
-// Records that one version of the table, or a run of versions, has changed.
-struct TableChange {
-    std::set<std::uint32_t> services;
-    std::set<std::string> zones;
-    std::set<std::uint32_t> servers;
-    // Endpoints.
-    std::set<std::string> routes;
-    bool document = false;
-
-    bool empty() const { return services.empty() && zones.empty() && servers.empty() && routes.empty() && !document; }
-    void add(const TableChange& other);
-};
-
 // Which records the newest versions of the table have changed.
 class TableHistory {
 public:
--- /dev/null
+++ b/src/control/types/leasetrackeroptions.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "foundation/iclock.h"
+
+#include <chrono>
+
+namespace clementinesill::control {
+
+struct LeaseTrackerOptions {
+    // A server that has not renewed for this long takes no new flows.
+    Duration lease = std::chrono::seconds(3);
+    // Leases without a renewal after which a silent server is removed.
+    int expiryLeases = 5;
+};
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/types/tablechange.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace clementinesill::control {
+
+// Records that one version of the table, or a run of versions, has changed.
+struct TableChange {
+    std::set<std::uint32_t> services;
+    std::set<std::string> zones;
+    std::set<std::uint32_t> servers;
+    // Endpoints.
+    std::set<std::string> routes;
+    bool document = false;
+
+    bool empty() const { return services.empty() && zones.empty() && servers.empty() && routes.empty() && !document; }
+    void add(const TableChange& other);
+};
+
+} // namespace clementinesill::control
--- a/src/dataplane/iflowcache.h
+++ b/src/dataplane/iflowcache.h
@@ -1,19 +1,13 @@
 #pragma once
 
+#include "dataplane/types/cachedserver.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 
 namespace clementinesill::dataplane {
 
-// A cached place of a flow.
-struct CachedServer {
-    std::uint32_t serverId = 0;
-    std::uint32_t incarnation = 0;
-
-    bool operator==(const CachedServer&) const = default;
-};
-
 // Which server holds a flow, for flows that rank order alone does not find. Soft state: bounded, and allowed to be
 // wrong, since agents pass a packet on. Keyed by the flow's seeded hash. Thread-safe.
 class IFlowCache {
--- a/src/dataplane/internal/balancerworker.h
+++ b/src/dataplane/internal/balancerworker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dataplane/internal/balancerworkeroptions.h"
 #include "dataplane/internal/workercounters.h"
 #include "foundation/iclock.h"
 #include "foundation/types/endpoint.h"
@@ -18,22 +19,6 @@
 class PacketBatch;
 struct GeneveMessage;
 
-// What the worker threads of a balancer share. The references must outlive the workers.
-struct BalancerWorkerOptions {
-    // Address packets arrive at; also told to agents as where the balancer listens.
-    Endpoint endpoint;
-    fleet::ITableSource& tables;
-    IForwarder& forwarder;
-    MetricsRegistry& metrics;
-    const IClock& clock;
-    // Largest IP datagram that the path to the agents carries whole, in bytes; larger ones are sent in fragments and counted.
-    std::size_t pathBytes = 1500;
-    // Reads in a row that found nothing, each as long as the receive timeout, before a stopped worker ends.
-    unsigned quietReads = 10;
-    // Longest time that a stopped worker goes on while packets keep coming.
-    Duration drainLimit = std::chrono::seconds(5);
-};
-
 // One thread's loop: takes batches of packets from the fabric and sends them on to agents.
 class BalancerWorker {
 public:
--- a/src/fleet/ifleetclient.h
+++ b/src/fleet/ifleetclient.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet/types/registration.h"
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -13,12 +15,6 @@
 
 class ITableSource;
 
-// What the controllers told a server's agent on its registration.
-struct Registration {
-    std::uint32_t serverId = 0;
-    std::uint32_t incarnation = 0;
-};
-
 // A daemon's link to the controllers: keeps the table current and a server registered, over reconnects.
 class IFleetClient {
 public:
--- a/src/framework/admin/adminpages.h
+++ b/src/framework/admin/adminpages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admin/types/adminreply.h"
 #include "foundation/iclock.h"
 
 #include <atomic>
@@ -21,13 +22,6 @@
 // Parameters of a query, decoded.
 using QueryParameters = std::map<std::string, std::string>;
 
-struct AdminReply {
-    // HTTP status code.
-    int status = 200;
-    std::string contentType = "application/json";
-    std::string body;
-};
-
 // The pages of the admin endpoint, apart from the transport: /health, /ready, /status, /metrics, /flows, /explain and
 // /histograms. Thread-safe.
 class AdminPages {
--- a/src/framework/foundation/log.h
+++ b/src/framework/foundation/log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "foundation/types/logfield.h"
+
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -28,12 +30,6 @@
 inline constexpr std::string_view remedy = "remedy";
 } // namespace logkey
 
-// One field of a log line.
-struct LogField {
-    std::string_view key;
-    std::string value;
-};
-
 // How and where log lines are written.
 struct LogOptions {
     LogLevel level = LogLevel::Info;
--- a/src/operators/controllerclient.h
+++ b/src/operators/controllerclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foundation/iclock.h"
+#include "operators/types/controllerclientoptions.h"
 
 #include <cstdint>
 #include <functional>
@@ -25,17 +26,6 @@
 class AttemptLog;
 class IOperatorsChannel;
 
-struct ControllerClientOptions {
-    // gRPC endpoints, tried in this order.
-    std::vector<std::string> controllers;
-    // Over all attempts of one call.
-    std::chrono::milliseconds timeout { 10'000 };
-    // One attempt at one controller.
-    std::chrono::milliseconds attemptTimeout { 3'000 };
-    // Waits between attempts; a test advances its clock instead.
-    std::function<void(Duration)> pause;
-};
-
 // Brings an operator's request to the leading controller: follows leader hints, goes on to the next controller after a
 // failure, and sends a change again with the same request id after a lost answer, so that it has one effect.
 // Every call throws Error: Conflict, InvalidConfiguration, NotFound; Unavailable if nothing was changed when the time was
--- /dev/null
+++ b/src/operators/internal/mergedrecord.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "foundation/types/errorkind.h"
+#include "operators/configerror.h"
+#include "operators/internal/valuecheck.h"
+#include "operators/types/configfault.h"
+#include "operators/types/configposition.h"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+
+namespace clementinesill::operators {
+
+// A record merged over several files, with the position of each key that was given.
+template <typename Record>
+struct MergedRecord {
+    Record record;
+    // Where the record stands last.
+    ConfigPosition position;
+    std::map<std::string, ConfigPosition> positions;
+
+    bool given(const std::string& key) const { return positions.contains(key); }
+
+    [[noreturn]] void fail(ConfigFault fault, const std::string& key, const std::string& problem, const std::string& remedy) const
+    {
+        const auto found = positions.find(key);
+        const auto kind = fault == ConfigFault::Ipv6Address ? ErrorKind::Unsupported : ErrorKind::InvalidConfiguration;
+        throw ConfigError(kind, fault, found == positions.end() ? position : found->second, problem, remedy);
+    }
+
+    void require(const std::string& key) const
+    {
+        if (!given(key))
+            fail(ConfigFault::MissingKey, key, "'" + record.name() + "' has no " + key, "add the key " + key + " to the record");
+    }
+
+    std::uint32_t inRange(const std::string& key, std::uint32_t value, std::uint32_t lowest, std::uint32_t highest) const
+    {
+        if (value < lowest || value > highest)
+            fail(ConfigFault::OutOfRange, key, std::to_string(value) + " is out of range", "use a number from " + std::to_string(lowest) + " to " + std::to_string(highest));
+        return value;
+    }
+
+    template <typename Value>
+    Value oneOf(const std::string& key, const std::string& text, std::span<const NamedValue<Value>> values) const
+    {
+        std::string choices;
+        for (const auto& candidate : values) {
+            if (candidate.name == text)
+                return candidate.value;
+            choices.append(choices.empty() ? "" : " or ").append("\"").append(candidate.name).append("\"");
+        }
+        fail(ConfigFault::UnknownValue, key, "'" + text + "' is not known", "write " + choices);
+    }
+};
+
+} // namespace clementinesill::operators
--- a/src/passthrough/coldlimit.h
+++ b/src/passthrough/coldlimit.h
@@ -1,18 +1,13 @@
 #pragma once
 
 #include "foundation/iclock.h"
+#include "passthrough/types/coldlimitoptions.h"
 
 #include <cstdint>
 #include <deque>
 
 namespace clementinesill::passthrough {
 
-struct ColdLimitOptions {
-    // What a cold server bears: its rate times this factor, and this many flows more, in any second.
-    double factor = 1;
-    std::uint32_t extraFlows = 0;
-};
-
 // Keeps the flows that a cold server is given in any second within what it bears. Load pattern: a server that has just
 // started, or a whole zone that comes back, and would be given its full share at once.
 class ColdLimit {
--- a/src/passthrough/heldflows.h
+++ b/src/passthrough/heldflows.h
@@ -3,6 +3,7 @@
 #include "fleet/types/flowkey.h"
 #include "passthrough/serverload.h"
 #include "passthrough/types/heldflow.h"
+#include "passthrough/types/heldflowsoptions.h"
 
 #include <cstddef>
 #include <unordered_map>
@@ -11,15 +12,6 @@
 
 struct FlowPacket;
 
-struct HeldFlowsOptions {
-    // A flow without a packet for this long is forgotten.
-    Duration idleTimeout = std::chrono::seconds(60);
-    // A flow that the caller never completed: its copies of the opening packet end sooner.
-    Duration openingTimeout = std::chrono::milliseconds(2500);
-    // A closed flow is kept for its last packets.
-    Duration closedTimeout = std::chrono::seconds(8);
-};
-
 // The flows of the server beside this agent, and the work that it has because of them. What is learnt from passing packets
 // is enough; nothing is asked of the server. Confined to the agent's loop.
 class HeldFlows {
--- a/src/passthrough/internal/relaypath.h
+++ b/src/passthrough/internal/relaypath.h
@@ -3,6 +3,7 @@
 #include "foundation/metrics.h"
 #include "passthrough/endedsearches.h"
 #include "passthrough/internal/packetsocket.h"
+#include "passthrough/internal/relaypathoptions.h"
 #include "passthrough/pendingsearches.h"
 #include "passthrough/types/relaydecision.h"
 
@@ -25,26 +26,6 @@
 class RelayRouter;
 struct FlowPacket;
 
-// What the relay path works with. The references must outlive it.
-struct RelayPathOptions {
-    // Where daemons' packets arrive; callers are answered at its port.
-    Endpoint packets;
-    // Where the server's packets arrive.
-    Endpoint serverPackets;
-    Endpoint server;
-    const IPacketFormat& format;
-    RelayRouter& router;
-    HeldFlows& flows;
-    LocalServer& localServer;
-    fleet::ITableSource& tables;
-    MetricsRegistry& metrics;
-    // Called before the first packet that a newer table decides.
-    std::function<void(const fleet::FleetTable&)> tableSeen;
-    // Called when the leader's word on the table is wanted; answered by confirmed().
-    std::function<void()> wantConfirmation;
-    const IClock& clock;
-};
-
 // Carries packets between daemons, the server beside this agent and callers, as the router decides.
 class RelayPath {
 public:
--- a/src/passthrough/relayrouter.h
+++ b/src/passthrough/relayrouter.h
@@ -2,6 +2,7 @@
 
 #include "foundation/iclock.h"
 #include "passthrough/types/relaydecision.h"
+#include "passthrough/types/relayrouteroptions.h"
 
 #include <cstdint>
 #include <string>
@@ -25,19 +26,6 @@
 struct FlowPacket;
 struct Search;
 
-// What the router works with. The references must outlive it.
-struct RelayRouterOptions {
-    std::string zone;
-    HeldFlows& flows;
-    LocalServer& server;
-    ServerLoad& load;
-    ColdLimit& cold;
-    agent::IMissLog& misses;
-    const IClock& clock;
-    // Longest life of a flow: an agent that runs for longer knows all flows of its server.
-    Duration flowLifetime = std::chrono::seconds(60);
-};
-
 // Decides what an agent does with a caller's packet: whether its own server takes a new flow, and where the packet of a
 // flow that it does not hold goes on to. Confined to the agent's loop.
 class RelayRouter {
--- a/src/requests/keystore.h
+++ b/src/requests/keystore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "requests/types/bodydigest.h"
 #include "requests/types/keystoreoptions.h"
 #include "requests/types/storedanswer.h"
 
@@ -30,14 +31,6 @@
     Full,
 };
 
-// Digest of a request's body.
-struct BodyDigest {
-    std::uint64_t size = 0;
-    std::uint64_t hash = 0;
-
-    bool operator==(const BodyDigest&) const = default;
-};
-
 // Remembers idempotency keys, so that a request that ran or is running is not run again.
 //
 // A key is forgotten only after its retention: without room for another key the new one is refused, as
--- /dev/null
+++ b/src/requests/types/bodydigest.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace clementinesill::requests {
+
+// Digest of a request's body.
+struct BodyDigest {
+    std::uint64_t size = 0;
+    std::uint64_t hash = 0;
+
+    bool operator==(const BodyDigest&) const = default;
+};
+
+} // namespace clementinesill::requests
