--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -2,7 +2,7 @@
 """Runs clang-tidy over the given files in parallel and remembers clean results.
 
 A file is linted again when it, a header it includes from this repository, the
-linter's settings or the compile command changes.
+linter, its settings or the compile command changes.
 """
 import argparse
 import concurrent.futures
@@ -16,13 +16,16 @@
 INCLUDE = re.compile(r'^\s*#include\s+"([^"]+)"', re.M)
 
 
+TOOL_VERSION = subprocess.run(["clang-tidy", "--version"], capture_output=True, check=False).stdout
+
+
 def included_files(path, root, seen):
     """Adds path and every repository header it reaches to seen."""
     if path in seen or not path.exists():
         return
     seen.add(path)
     for name in INCLUDE.findall(path.read_text()):
-        for candidate in (path.parent / name, root / "src" / name, root / "src/framework" / name,
+        for candidate in (path.parent / name, root / name, root / "src" / name, root / "src/framework" / name,
                           root / "src/framework/schema/generated" / name):
             if candidate.exists():
                 included_files(candidate.resolve(), root, seen)
@@ -32,7 +35,7 @@
 def fingerprint(path, root, command):
     files = set()
     included_files(path, root, files)
-    digest = hashlib.sha256((root / ".clang-tidy").read_bytes() + command.encode())
+    digest = hashlib.sha256((root / ".clang-tidy").read_bytes() + TOOL_VERSION + command.encode())
     for name in sorted(files):
         digest.update(str(name.relative_to(root)).encode() + name.read_bytes())
     return digest.hexdigest()
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -55,10 +55,11 @@
 
     bool opened() { return await(firstUpdateTimeout); }
 
-    bool read(schema::TableUpdate& update, Duration timeout)
+    // Null if the stream has ended or the time is over.
+    const schema::TableUpdate* read(Duration timeout)
     {
-        m_reader->Read(&update, watchTag);
-        return await(timeout);
+        m_reader->Read(&m_update, watchTag);
+        return await(timeout) ? &m_update : nullptr;
     }
 
     grpc::Status finish()
@@ -84,6 +85,8 @@
     }
 
     bool m_timedOut = false;
+    // Outlives the queue: a read that was given up is finished when the queue is emptied.
+    schema::TableUpdate m_update;
     grpc::ClientContext& m_context;
     grpc::CompletionQueue m_queue;
     std::unique_ptr<grpc::ClientAsyncReader<schema::TableUpdate>> m_reader;
@@ -234,23 +237,22 @@
     WatchStream stream(target, request, context);
     WatchEnd end;
     Duration lease = firstUpdateTimeout;
-    schema::TableUpdate update;
     int staleHeartbeats = 0;
     const bool open = stream.opened();
-    while (open && stream.read(update, lease)) {
-        if (!takeUpdate(update)) {
+    while (const auto* update = open ? stream.read(lease) : nullptr) {
+        if (!takeUpdate(*update)) {
             end.reason = "the controller's update does not fit the table held";
             return end;
         }
         end.received = true;
-        learnControllers(update);
+        learnControllers(*update);
         staleHeartbeats = m_holder.highestVersionSeen() > m_table.version() ? staleHeartbeats + 1 : 0;
         if (staleHeartbeats >= staleHeartbeatLimit) {
             end.reason = "a peer holds a newer table than this controller gives";
             return end;
         }
-        if (update.lease_ms())
-            lease = std::chrono::milliseconds(update.lease_ms());
+        if (update->lease_ms())
+            lease = std::chrono::milliseconds(update->lease_ms());
     }
     const auto status = stream.finish();
     end.reason = status.error_message();
--- /dev/null
+++ b/src/fleet/tests/grpcfleetclient.cpp
@@ -0,0 +1,57 @@
+#include "fleet/internal/grpcfleetclient.h"
+
+#include "fleet/fleettable.h"
+#include "tests/latecontroller.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace clementinesill;
+
+namespace {
+
+// Bounds a wait that only a fault makes long.
+constexpr std::chrono::seconds patience { 60 };
+// Streams given up; each may meet a late message at the worst moment.
+constexpr int givenUpStreams = 25;
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(GrpcFleetClient) {};
+// clang-format on
+
+TEST(GrpcFleetClient, AMessageThatComesAsItsStreamIsGivenUpHarmsNothing)
+{
+    LateController controller;
+    schema::DaemonSettings settings;
+    settings.set_name("balancer");
+    settings.mutable_balancer();
+    settings.add_controllers(controller.endpoint());
+    fleet::GrpcFleetClient client(settings);
+    client.start();
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    while (controller.streams < givenUpStreams && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    client.stop();
+    CHECK(controller.streams >= givenUpStreams);
+    LONGS_EQUAL(1, client.tables().table()->version());
+}
+
+TEST(GrpcFleetClient, ControllersAreLearntFromTheSourceEachTime)
+{
+    LateController controller;
+    schema::DaemonSettings settings;
+    settings.set_name("balancer");
+    settings.mutable_balancer();
+    std::atomic<int> asked { 0 };
+    // The first seed is down; the file names another one later.
+    fleet::GrpcFleetClient client(settings, [&] {
+        return std::vector<std::string> { ++asked < 4 ? "127.0.0.1:1" : controller.endpoint() };
+    });
+    client.start();
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    while (!client.tables().table()->version() && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    client.stop();
+    LONGS_EQUAL(1, client.tables().table()->version());
+}
