--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t missLogFlows = 4096;
 // How often flows whose time is over are looked for, and the table is looked at where no packet comes.
 constexpr std::chrono::milliseconds reviewInterval { 600 };
+// How often the table is looked at while the server is registered and not in it yet.
+constexpr std::chrono::milliseconds adoptInterval { 100 };
 // Heartbeats until a server that turned cold has said so.
 constexpr int coldNoticeBeats = 2;
 
@@ -183,9 +185,6 @@
         m_zoneOut = out;
     }
 
-    // How often the table is looked at while the server is registered and not in it yet.
-    static constexpr std::chrono::milliseconds adoptInterval { 100 };
-
     const std::string m_zone;
     const std::string m_service;
     const Endpoint m_endpoint;
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -30,7 +30,6 @@
 constexpr std::size_t defaultCacheEntries = 16384;
 // The fabric looks twice a second and takes a balancer out after two misses; packets on their way come on top.
 constexpr std::chrono::milliseconds rotationDelay { 2200 };
-constexpr std::size_t entryReasons = 7;
 
 class PassThroughBalancer final : public IRoleModule {
 public:
--- a/src/passthrough/internal/relaypath.h
+++ b/src/passthrough/internal/relaypath.h
@@ -62,7 +62,7 @@
     std::uint32_t m_incarnation = 0;
     std::uint64_t m_seenVersion = 0;
     // By RelayReason.
-    std::array<Counter*, 22> m_decisions {};
+    std::array<Counter*, relayReasons> m_decisions {};
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/serverlink.cpp
+++ b/src/passthrough/internal/serverlink.cpp
@@ -4,6 +4,8 @@
 #include "foundation/hash.h"
 #include "foundation/log.h"
 
+#include <utility>
+
 namespace clementinesill::passthrough {
 
 namespace {
--- a/src/passthrough/tests/entryrouter.cpp
+++ b/src/passthrough/tests/entryrouter.cpp
@@ -2,7 +2,7 @@
 
 #include "dataplane/internal/flowcache.h"
 #include "dataplane/types/holder.h"
-#include "passthrough/tests/relayfleet.h"
+#include "passthrough/tests/relaytable.h"
 #include "passthrough/zonerank.h"
 
 #include <CppUTest/TestHarness.h>
--- a/src/passthrough/tests/largesearch.cpp
+++ b/src/passthrough/tests/largesearch.cpp
@@ -1,4 +1,4 @@
-#include "passthrough/tests/relayfleet.h"
+#include "passthrough/tests/relayagent.h"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
@@ -11,6 +11,8 @@
 
 // More servers than a packet can name.
 constexpr std::uint32_t serverCount = 70;
+// A search that asks more agents goes in circles.
+constexpr std::size_t longestWalk = 210;
 
 std::shared_ptr<const fleet::FleetTable> largeTable()
 {
@@ -61,7 +63,7 @@
     search.route = { .tableVersion = table.version(), .serviceId = deskService, .serverId = first, .incarnation = 1, .balancer = {}, .ingress = {} };
     const auto packet = fromCaller(5000, 0, 1001, port);
     Walk walk;
-    while (walk.asked.size() <= 3 * serverCount) {
+    while (walk.asked.size() <= longestWalk) {
         const auto id = search.route.serverId;
         walk.asked.push_back(id);
         EmptyAgent agent(id, "zone-" + std::to_string(id % 3), clock);
--- a/src/passthrough/tests/relayrouter.cpp
+++ b/src/passthrough/tests/relayrouter.cpp
@@ -1,6 +1,6 @@
 #include "passthrough/relayrouter.h"
 
-#include "passthrough/tests/relayfleet.h"
+#include "passthrough/tests/relayagent.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/passthrough/types/entrydecision.h
+++ b/src/passthrough/types/entrydecision.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -28,6 +29,7 @@
     NoRoute,
     NoServer,
 };
+constexpr std::size_t entryReasons = 7;
 
 std::string_view name(EntryReason reason);
 
--- a/src/passthrough/types/relaydecision.h
+++ b/src/passthrough/types/relaydecision.h
@@ -2,6 +2,7 @@
 
 #include "foundation/types/endpoint.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -51,6 +52,7 @@
     SearchBounded,
     ResetNotHeld,
 };
+constexpr std::size_t relayReasons = 22;
 
 std::string_view name(RelayAction action);
 std::string_view name(RelayReason reason);
