Send messages between daemons through one function

The distance of sequence numbers is the agent's own (sequencewindow.h) instead of a second one. Forward declarations that the split of option structs left behind, and an unused include, are gone. Behaviour stays as it is.

--- a/src/passthrough/internal/heldflows.cpp
+++ b/src/passthrough/internal/heldflows.cpp
@@ -1,31 +1,29 @@
 #include "passthrough/heldflows.h"
 
+#include "agent/internal/sequencewindow.h"
 #include "passthrough/types/flowpacket.h"
 
 namespace clementinesill::passthrough {
 
 namespace {
 
+using agent::sequenceDistance;
+
 // Sequence numbers that a live flow's packets may be apart: what both ends may have under way, with room for what is sent
 // again.
 constexpr std::int32_t sequenceWindowBytes = 1 << 18;
 // An opening packet may or may not take up a sequence number itself.
 constexpr std::int32_t openingSequenceSlack = 2;
 
-std::int32_t distance(std::uint32_t from, std::uint32_t to)
-{
-    return static_cast<std::int32_t>(to - from);
-}
-
 bool near(std::uint32_t left, std::uint32_t right)
 {
-    const auto between = distance(left, right);
+    const auto between = sequenceDistance(left, right);
     return between <= sequenceWindowBytes && between >= -sequenceWindowBytes;
 }
 
 void advance(std::uint32_t& next, std::uint32_t end)
 {
-    if (distance(next, end) > 0)
+    if (sequenceDistance(next, end) > 0)
         next = end;
 }
 
@@ -67,7 +65,7 @@
     // A copy of the opening packet may have been answered by two servers: the flow is at the one that is acknowledged.
     if (!flow.answered || !packet.ack)
         return false;
-    const auto acknowledged = distance(flow.serverSequence, packet.acknowledgement);
+    const auto acknowledged = sequenceDistance(flow.serverSequence, packet.acknowledgement);
     return near(packet.sequence, flow.callerSequence) && acknowledged >= 0 && acknowledged <= openingSequenceSlack + sequenceWindowBytes;
 }
 
@@ -83,7 +81,7 @@
     flow.callerFinished = flow.callerFinished || packet.fin;
     flow.reset = flow.reset || packet.rst;
     const auto end = packet.sequence + packet.payloadBytes;
-    if (packet.payloadBytes && !flow.awaitsAnswer && distance(flow.callerNext, end) > 0) {
+    if (packet.payloadBytes && !flow.awaitsAnswer && sequenceDistance(flow.callerNext, end) > 0) {
         flow.awaitsAnswer = true;
         flow.requestedAt = now;
         m_load.started();
--- a/src/passthrough/internal/packetsocket.cpp
+++ b/src/passthrough/internal/packetsocket.cpp
@@ -1,7 +1,9 @@
 #include "passthrough/internal/packetsocket.h"
 
+#include "dataplane/genevecodec.h"
 #include "net/udpsocket.h"
 
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <sys/socket.h>
@@ -37,9 +39,16 @@
     }
 }
 
-bool PacketSocket::send(std::span<const std::byte> header, std::span<const std::byte> payload, const Endpoint& target)
+bool PacketSocket::send(std::span<const std::byte> packet, const Endpoint& target)
 {
-    return net::sendDatagram(m_socket.native_handle(), header, payload, target);
+    return net::sendDatagram(m_socket.native_handle(), {}, packet, target);
+}
+
+bool PacketSocket::send(const dataplane::GeneveMessage& message, std::span<const std::byte> payload, const Endpoint& target)
+{
+    std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
+    const auto headerBytes = dataplane::encodeGeneveHeader(message, header);
+    return net::sendDatagram(m_socket.native_handle(), std::span(header).first(headerBytes), payload, target);
 }
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/packetsocket.h
+++ b/src/passthrough/internal/packetsocket.h
@@ -10,6 +10,10 @@
 #include <span>
 #include <vector>
 
+namespace clementinesill::dataplane {
+struct GeneveMessage;
+}
+
 namespace clementinesill::passthrough {
 
 // A UDP socket on a loop.
@@ -23,8 +27,11 @@
     // Hands each datagram to the handler until the loop ends.
     boost::asio::awaitable<void> run(Handler handler);
 
-    // Sends one datagram made of two parts; false if the kernel did not take it.
-    bool send(std::span<const std::byte> header, std::span<const std::byte> payload, const Endpoint& target);
+    // Sends the packet as it is; false if the kernel did not take it.
+    bool send(std::span<const std::byte> packet, const Endpoint& target);
+
+    // Sends the message with its header in front of the payload; false if the kernel did not take it.
+    bool send(const dataplane::GeneveMessage& message, std::span<const std::byte> payload, const Endpoint& target);
 
 private:
     boost::asio::posix::stream_descriptor m_socket;
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -14,7 +14,6 @@
 #include "passthrough/passthroughmodules.h"
 #include "settings.pb.h"
 
-#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -86,7 +85,7 @@
         if (decision.action == EntryAction::Forward)
             forward(decision, *table, bytes);
         else if (decision.action == EntryAction::Reset)
-            m_packets.send({}, m_format.reset(*packet), { .address = packet->key.caller.address, .port = m_callerPort });
+            m_packets.send(m_format.reset(*packet), { .address = packet->key.caller.address, .port = m_callerPort });
     }
 
     void forward(const EntryDecision& decision, const fleet::FleetTable& table, std::span<const std::byte> bytes)
@@ -102,9 +101,7 @@
             .ingress = {},
             .flags = static_cast<std::uint8_t>((decision.opensFlow ? dataplane::Route::opensFlow : 0) | (decision.fromCache ? dataplane::Route::fromCache : 0)),
         };
-        std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
-        const auto headerBytes = dataplane::encodeGeneveHeader(message, header);
-        m_packets.send(std::span(header).first(headerBytes), bytes, decision.server->agent);
+        m_packets.send(message, bytes, decision.server->agent);
     }
 
     void onPeerPacket(std::span<const std::byte> datagram)
--- a/src/passthrough/internal/relaypath.cpp
+++ b/src/passthrough/internal/relaypath.cpp
@@ -159,7 +159,7 @@
     m_options.flows.noteCaller(packet);
     if (mark)
         m_options.format.mark(bytes, mark);
-    m_serverPackets.send({}, bytes, m_options.server);
+    m_serverPackets.send(bytes, m_options.server);
 }
 
 void RelayPath::passOn(const RelayDecision& decision, Search search, std::span<const std::byte> bytes)
@@ -169,9 +169,7 @@
     message.serviceId = search.route.serviceId;
     message.route = search.route;
     message.visited = search.visited;
-    std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
-    const auto headerBytes = dataplane::encodeGeneveHeader(message, header);
-    m_packets.send(std::span(header).first(headerBytes), bytes, decision.nextAgent);
+    m_packets.send(message, bytes, decision.nextAgent);
 }
 
 void RelayPath::tellBalancer(const Search& search, const fleet::FlowKey& key)
@@ -182,14 +180,12 @@
     hint.serviceId = search.route.serviceId;
     hint.control = true;
     hint.holder = dataplane::Holder { .key = key, .serverId = m_serverId, .incarnation = m_incarnation };
-    std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
-    const auto headerBytes = dataplane::encodeGeneveHeader(hint, header);
-    m_packets.send(std::span(header).first(headerBytes), {}, search.route.balancer);
+    m_packets.send(hint, {}, search.route.balancer);
 }
 
 void RelayPath::toCaller(const fleet::FlowKey& flow, std::span<const std::byte> bytes)
 {
-    m_packets.send({}, bytes, { .address = flow.caller.address, .port = m_options.packets.port });
+    m_packets.send(bytes, { .address = flow.caller.address, .port = m_options.packets.port });
 }
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/relaypath.h
+++ b/src/passthrough/internal/relaypath.h
@@ -13,19 +13,8 @@
 struct TableView;
 }
 
-namespace clementinesill::fleet {
-class FleetTable;
-class ITableSource;
-} // namespace clementinesill::fleet
-
 namespace clementinesill::passthrough {
 
-class HeldFlows;
-class IPacketFormat;
-class LocalServer;
-class RelayRouter;
-struct FlowPacket;
-
 // Carries packets between daemons, the server beside this agent and callers, as the router decides.
 class RelayPath {
 public:
--- a/src/passthrough/relayrouter.h
+++ b/src/passthrough/relayrouter.h
@@ -5,12 +5,10 @@
 #include "passthrough/types/relayrouteroptions.h"
 
 #include <cstdint>
-#include <string>
 
 namespace clementinesill::agent {
-class IMissLog;
 struct TableView;
-} // namespace clementinesill::agent
+}
 
 namespace clementinesill::fleet {
 struct RouteEntry;
@@ -19,10 +17,6 @@
 
 namespace clementinesill::passthrough {
 
-class ColdLimit;
-class HeldFlows;
-class LocalServer;
-class ServerLoad;
 struct FlowPacket;
 struct Search;
 
