Count an agent's own pauses not as its server's silence

Cause: LocalServer compared the clock with the last heartbeat alone. Ruled out: waiting for a heartbeat before any verdict, since a server that dies while its agent runs must be noticed at once. Before: the new test LocalServer.TimeInWhichTheAgentItselfStoodStillIsNoSilence fails ("CHECK_FALSE(server.silent()) failed"). After: passes; 52 tests of the package pass.

--- a/src/passthrough/internal/localserver.cpp
+++ b/src/passthrough/internal/localserver.cpp
@@ -1,5 +1,8 @@
 #include "passthrough/localserver.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace clementinesill::passthrough {
 
 bool LocalServer::sameStart(const ServerBeat& beat) const
@@ -35,4 +38,12 @@
     return true;
 }
 
+void LocalServer::noteRunning()
+{
+    const auto now = m_clock.now();
+    const auto pause = now - std::exchange(m_lastRunning, now);
+    if (pause > 2 * m_heartbeat)
+        m_lastHeard += std::min(pause, now - m_lastHeard);
+}
+
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -163,6 +163,7 @@
     {
         asio::steady_timer timer(m_loop);
         while (true) {
+            m_server.noteRunning();
             followTable(*m_fleet.tables().table());
             m_flows.expire();
             timer.expires_after(m_registration.serverId && !m_fleet.tables().table()->server(m_registration.serverId) ? adoptInterval : reviewInterval);
--- a/src/passthrough/internal/relaypath.cpp
+++ b/src/passthrough/internal/relaypath.cpp
@@ -52,6 +52,7 @@
 
 void RelayPath::onDaemonPacket(std::span<std::byte> datagram)
 {
+    m_options.localServer.noteRunning();
     dataplane::GeneveMessage message;
     if (dataplane::decodeGeneve(datagram, message) != dataplane::PacketError::None || !message.route) {
         ++m_options.metrics.counter("relay_malformed_total");
--- a/src/passthrough/localserver.h
+++ b/src/passthrough/localserver.h
@@ -36,6 +36,10 @@
     // The server sent a packet: it lives.
     void noteAlive() { m_lastHeard = m_clock.now(); }
 
+    // The agent runs; called for each packet and at least once a heartbeat. Time in which the agent itself was frozen or
+    // suspended does not count as the server's silence.
+    void noteRunning();
+
     // Neither heartbeats nor packets come: the server is dead or stuck.
     bool silent() const { return m_beat && m_clock.now() - m_lastHeard > silenceBeats * m_heartbeat; }
 
@@ -54,6 +58,7 @@
     Duration m_heartbeat;
     std::optional<ServerBeat> m_beat;
     MonotonicTime m_lastHeard;
+    MonotonicTime m_lastRunning;
     bool m_left = false;
 };
 
--- a/src/passthrough/tests/localserver.cpp
+++ b/src/passthrough/tests/localserver.cpp
@@ -74,3 +74,18 @@
     server.noteAlive();
     CHECK_FALSE(server.silent());
 }
+
+TEST(LocalServer, TimeInWhichTheAgentItselfStoodStillIsNoSilence)
+{
+    server.accept(beatOf("i-1", 100, 1));
+    server.noteRunning();
+    // The VM freezes; the first packet after it comes before the next heartbeat.
+    clock.advance(5 * heartbeat);
+    server.noteRunning();
+    CHECK_FALSE(server.silent());
+    for (int step = 0; step < 7; ++step) {
+        clock.advance(heartbeat / 2);
+        server.noteRunning();
+    }
+    CHECK(server.silent());
+}
