Wake controllers by deadlines instead of polls

Ruled out: a longer poll, which would delay elections and heartbeats by as much. Change: the log says when its tick and each peer's message are due; the driver sleeps until then or until something arrives. A leader looks at leases every 500 ms, a follower not at all until it leads. The replica tests hold the log to its word in every simulated schedule: nothing changes before dueAt(), a message comes exactly when messageDueAt() says.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -5,8 +5,6 @@
 #include "foundation/log.h"
 #include "operators/foldermerge.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace clementinesill::control {
 
 namespace {
@@ -17,8 +15,10 @@
 constexpr auto watchHeartbeat = std::chrono::seconds(1);
 // How long a daemon relies on a silent stream.
 constexpr std::uint32_t watchLeaseMs = 3000;
-// How often leases are looked at.
-constexpr auto supervisionInterval = std::chrono::milliseconds(200);
+// How often a leader looks at leases.
+constexpr auto supervisionInterval = std::chrono::milliseconds(500);
+// A follower has no leases to look at; it is woken when it leads.
+constexpr auto followerInterval = std::chrono::hours(1);
 // How long a controller that is behind a daemon waits before it looks again.
 constexpr auto behindInterval = std::chrono::milliseconds(200);
 
@@ -45,6 +45,7 @@
     , m_leases(clock, { .lease = options.serverLease })
     , m_damping(clock, {})
     , m_feed(state, log)
+    , m_supervision(context)
 {
 }
 
@@ -299,10 +300,8 @@
 
 awaitable<void> Controller::superviseServers()
 {
-    boost::asio::steady_timer timer(m_context);
     while (!m_stopping) {
-        timer.expires_after(supervisionInterval);
-        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        co_await m_supervision.wait(m_wasLeading ? Duration(supervisionInterval) : Duration(followerInterval));
         const bool leading = m_log.leading();
         if (leading && !m_wasLeading) {
             m_leases.restart();
@@ -326,6 +325,8 @@
 
 void Controller::notify()
 {
+    if (m_log.leading() != m_wasLeading || m_stopping)
+        m_supervision.wake();
     for (const auto& [writer, session] : m_watchers)
         writer->wake();
     for (const auto& writer : m_eventWriters)
--- a/src/control/internal/controller.h
+++ b/src/control/internal/controller.h
@@ -6,6 +6,7 @@
 #include "control/icommandlog.h"
 #include "control/internal/controlleroptions.h"
 #include "control/internal/streamwriter.h"
+#include "control/internal/wakeup.h"
 #include "control/iversionedconfig.h"
 #include "control/leasetracker.h"
 #include "control/tablefeed.h"
@@ -75,6 +76,7 @@
     TableFeed m_feed;
     bool m_stopping = false;
     bool m_wasLeading = false;
+    Wakeup m_supervision;
     std::map<std::shared_ptr<Watcher>, Session> m_watchers;
     std::set<std::shared_ptr<EventWriter>> m_eventWriters;
 };
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -94,10 +94,11 @@
     applyCommitted();
 }
 
-bool ReplicatedLog::lostMajority() const
+// A leader that no majority answers steps down then.
+MonotonicTime ReplicatedLog::majorityLostAt() const
 {
-    const auto since = m_clock.now() - m_options.longestElectionTimeout;
-    return m_leadingSince < since && m_replication.majoritySend(*m_log.membership(), m_clock.now()) < since;
+    const auto heard = m_replication.majoritySend(*m_log.membership(), m_clock.now());
+    return std::max(m_leadingSince, heard) + m_options.longestElectionTimeout;
 }
 
 void ReplicatedLog::stepDown()
--- a/src/control/internal/peerlink.cpp
+++ b/src/control/internal/peerlink.cpp
@@ -8,18 +8,17 @@
 
 using boost::asio::awaitable;
 
-// How often the log is asked whether something is due.
-constexpr auto pollInterval = std::chrono::milliseconds(30);
 // Wait after a call that failed.
 constexpr auto retryInterval = std::chrono::milliseconds(100);
 constexpr auto callTimeout = std::chrono::milliseconds(600);
 constexpr auto snapshotTimeout = std::chrono::milliseconds(10'000);
 } // namespace
 
-PeerLink::PeerLink(boost::asio::io_context& context, ReplicatedLog& log, const ReplicaPeer& peer, const std::shared_ptr<grpc::ChannelCredentials>& credentials, std::function<void()> answered)
+PeerLink::PeerLink(boost::asio::io_context& context, ReplicatedLog& log, const ReplicaPeer& peer, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock, std::function<void()> answered)
     : m_context(context)
     , m_log(log)
     , m_peer(peer)
+    , m_clock(clock)
     , m_answered(std::move(answered))
     , m_credentials(credentials)
     , m_stub(peerStub(peer.endpoint, credentials))
@@ -32,9 +31,10 @@
     while (!m_stopping) {
         const auto message = m_log.nextMessage(m_peer.name);
         if (!message) {
-            co_await m_wakeup.wait(pollInterval);
+            co_await m_wakeup.waitUntil(m_log.messageDueAt(m_peer.name), m_clock);
             continue;
         }
+        m_occupied = true;
         const auto answer = co_await send(*message);
         if (m_stopping)
             co_return;
@@ -46,9 +46,16 @@
             m_stub = peerStub(m_peer.endpoint, m_credentials);
             co_await m_wakeup.wait(retryInterval);
         }
+        m_occupied = false;
     }
 }
 
+void PeerLink::wake()
+{
+    if (!m_occupied && m_log.messageDueAt(m_peer.name) <= m_clock.now())
+        m_wakeup.wake();
+}
+
 void PeerLink::stop()
 {
     m_stopping = true;
--- a/src/control/internal/peerlink.h
+++ b/src/control/internal/peerlink.h
@@ -19,13 +19,13 @@
 class PeerLink {
 public:
     // answered is called after each answer was handed to the log.
-    PeerLink(boost::asio::io_context& context, ReplicatedLog& log, const ReplicaPeer& peer, const std::shared_ptr<grpc::ChannelCredentials>& credentials, std::function<void()> answered);
+    PeerLink(boost::asio::io_context& context, ReplicatedLog& log, const ReplicaPeer& peer, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock, std::function<void()> answered);
 
     // Runs until stop().
     boost::asio::awaitable<void> run();
 
-    // Looks at once whether there is something to send.
-    void wake() { m_wakeup.wake(); }
+    // Looks whether there is something to send; called after whatever may have changed that.
+    void wake();
 
     void stop();
 
@@ -37,10 +37,13 @@
     boost::asio::io_context& m_context;
     ReplicatedLog& m_log;
     ReplicaPeer m_peer;
+    const IClock& m_clock;
     std::function<void()> m_answered;
     std::shared_ptr<grpc::ChannelCredentials> m_credentials;
     std::unique_ptr<schema::Peers::Stub> m_stub;
     Wakeup m_wakeup;
+    // A call is in progress, or one has failed just now.
+    bool m_occupied = false;
     bool m_stopping = false;
 };
 
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -14,7 +14,6 @@
 using boost::asio::co_spawn;
 using boost::asio::detached;
 
-constexpr auto tickInterval = std::chrono::milliseconds(30);
 // How long a command may take to be accepted before its outcome is called unknown.
 constexpr auto submitTimeout = std::chrono::seconds(4);
 
@@ -27,6 +26,7 @@
 
 ReplicatedCommandLog::ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock, std::function<std::vector<std::string>()> seeds)
     : m_context(context)
+    , m_clock(clock)
     , m_options(options)
     , m_state(state)
     , m_random(SeededRandom::fromEntropy())
@@ -36,7 +36,7 @@
     , m_machine(state, [this](std::uint64_t index, std::uint64_t term, const CommandResult& result) { onApplied(index, term, result); })
     , m_log(options, clock, m_random, m_failStop, m_machine)
     , m_credentials(credentials)
-    , m_tick(context)
+    , m_deadline(context)
 {
     if (seeds)
         m_joiner = std::make_unique<GroupJoiner>(context, GroupJoinerOptions { .name = options.name, .endpoint = options.endpoint, .log = m_log, .seeds = std::move(seeds), .credentials = credentials });
@@ -46,7 +46,7 @@
 {
     m_changed = std::move(changed);
     co_spawn(
-        m_context, [this] { return tickLoop(); }, detached);
+        m_context, [this] { return deadlineLoop(); }, detached);
     linkPeers();
     if (m_joiner)
         co_spawn(
@@ -59,7 +59,7 @@
         auto& link = m_links[peer.name];
         if (link)
             continue;
-        link = std::make_unique<PeerLink>(m_context, m_log, peer, m_credentials, [this] { afterEvent(); });
+        link = std::make_unique<PeerLink>(m_context, m_log, peer, m_credentials, m_clock, [this] { afterEvent(); });
         co_spawn(
             m_context, [&link = *link] { return link.run(); }, detached);
     }
@@ -68,7 +68,7 @@
 void ReplicatedCommandLog::stop()
 {
     m_stopping = true;
-    m_tick.wake();
+    m_deadline.wake();
     if (m_joiner)
         m_joiner->stop();
     for (const auto& [name, link] : m_links)
@@ -76,18 +76,13 @@
     releaseWaiters();
 }
 
-awaitable<void> ReplicatedCommandLog::tickLoop()
+awaitable<void> ReplicatedCommandLog::deadlineLoop()
 {
     while (!m_stopping) {
-        m_log.tick();
-        linkPeers();
         afterEvent();
-        if (m_log.leaseLive() && !m_state.hashSeed() && !m_founding) {
-            m_founding = true;
-            co_spawn(
-                m_context, [this] { return foundFleet(); }, detached);
-        }
-        co_await m_tick.wait(tickInterval);
+        m_wakesAt = m_log.dueAt();
+        co_await m_deadline.waitUntil(m_wakesAt, m_clock);
+        m_wakesAt = MonotonicTime::min();
     }
 }
 
@@ -127,8 +122,6 @@
     boost::asio::post(m_context, [this] {
         m_flushing = false;
         m_log.flush();
-        for (const auto& [name, link] : m_links)
-            link->wake();
         afterEvent();
     });
 }
@@ -155,10 +148,29 @@
     }
 }
 
+// Something arrived or has come due: acts upon all that follows from it.
 void ReplicatedCommandLog::afterEvent()
 {
+    if (m_stopping)
+        return;
+    m_log.tick();
+    linkPeers();
     if (m_log.role() != ReplicaRole::Leader && !m_waiters.empty())
         releaseWaiters();
+    if (m_log.leaseLive() && !m_state.hashSeed() && !m_founding) {
+        m_founding = true;
+        co_spawn(
+            m_context, [this] { return foundFleet(); }, detached);
+    }
+    publishChanges();
+    for (const auto& [name, link] : m_links)
+        link->wake();
+    if (m_log.dueAt() < m_wakesAt)
+        m_deadline.wake();
+}
+
+void ReplicatedCommandLog::publishChanges()
+{
     const bool leading = m_log.leaseLive();
     const bool current = m_log.leaderHeard();
     if (m_state.version() == m_seenVersion && leading == m_seenLeading && current == m_seenCurrent)
@@ -166,9 +178,6 @@
     m_seenVersion = m_state.version();
     m_seenLeading = leading;
     m_seenCurrent = current;
-    // What is committed goes to the followers at once.
-    for (const auto& [name, link] : m_links)
-        link->wake();
     m_changed();
 }
 
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -55,15 +55,17 @@
         Wakeup wakeup;
     };
 
-    boost::asio::awaitable<void> tickLoop();
+    boost::asio::awaitable<void> deadlineLoop();
     boost::asio::awaitable<void> foundFleet();
     void onApplied(std::uint64_t index, std::uint64_t term, const CommandResult& result);
     void flushSoon();
     void linkPeers();
     void afterEvent();
+    void publishChanges();
     void releaseWaiters();
 
     boost::asio::io_context& m_context;
+    const IClock& m_clock;
     ReplicatedLogOptions m_options;
     FleetState& m_state;
     SeededRandom m_random;
@@ -78,7 +80,9 @@
     std::map<std::string, std::unique_ptr<PeerLink>> m_links;
     // Null if the settings name the group.
     std::unique_ptr<GroupJoiner> m_joiner;
-    Wakeup m_tick;
+    Wakeup m_deadline;
+    // When the loop of deadlines wakes by itself; the earliest time while it runs.
+    MonotonicTime m_wakesAt = MonotonicTime::min();
     std::function<void()> m_changed;
     bool m_stopping = false;
     bool m_flushing = false;
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -62,7 +62,7 @@
     if (m_role == ReplicaRole::Leader) {
         flush();
         reviewMembership();
-        if (lostMajority())
+        if (m_clock.now() > majorityLostAt())
             stepDown();
         return;
     }
@@ -70,6 +70,30 @@
         startVoting(ReplicaRole::PreCandidate);
 }
 
+MonotonicTime ReplicatedLog::dueAt() const
+{
+    if (m_role == ReplicaRole::Leader)
+        return leaseLive() ? std::min(leaseEnd(), majorityLostAt()) : majorityLostAt();
+    const auto election = isMember() ? m_electionDeadline : MonotonicTime::max();
+    return leaderHeard() ? std::min(election, m_leaseContact + m_options.lease) : election;
+}
+
+MonotonicTime ReplicatedLog::messageDueAt(const std::string& peer) const
+{
+    if (formsGroup()) {
+        const auto described = m_nextDescribe.find(peer);
+        return described == m_nextDescribe.end() ? MonotonicTime::min() : described->second;
+    }
+    if (m_role == ReplicaRole::Leader) {
+        const auto& known = m_replication.peers();
+        const auto progress = known.find(peer);
+        const bool sentAll = progress != known.end() && progress->second.nextIndex > m_log.lastIndex();
+        return sentAll ? progress->second.nextHeartbeat : MonotonicTime::min();
+    }
+    const bool asks = m_role == ReplicaRole::PreCandidate || m_role == ReplicaRole::Candidate;
+    return asks && member(peer) && !m_asked.contains(peer) ? MonotonicTime::min() : MonotonicTime::max();
+}
+
 std::optional<PeerMessage> ReplicatedLog::nextMessage(const std::string& peer)
 {
     if (formsGroup())
@@ -226,8 +250,12 @@
 {
     if (m_role != ReplicaRole::Leader || m_commitIndex < m_termStart || !m_log.membership())
         return false;
-    const auto now = m_clock.now();
-    return m_replication.majoritySend(*m_log.membership(), now) + m_options.lease > now;
+    return leaseEnd() > m_clock.now();
+}
+
+MonotonicTime ReplicatedLog::leaseEnd() const
+{
+    return m_replication.majoritySend(*m_log.membership(), m_clock.now()) + m_options.lease;
 }
 
 bool ReplicatedLog::leaderHeard() const
--- a/src/control/internal/wakeup.h
+++ b/src/control/internal/wakeup.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "foundation/iclock.h"
+
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -35,6 +38,16 @@
         co_return woken;
     }
 
+    // As wait, until the time given on the clock; at least for a moment, so that a deadline that has come and is not
+    // acted upon keeps no thread busy.
+    boost::asio::awaitable<bool> waitUntil(MonotonicTime due, const IClock& clock)
+    {
+        constexpr Duration shortest = std::chrono::milliseconds(2);
+        constexpr Duration longest = std::chrono::hours(1);
+        const auto now = clock.now();
+        return wait(due >= now + longest ? longest : std::max(shortest, due - std::min(due, now)));
+    }
+
 private:
     boost::asio::steady_timer m_timer;
     bool m_woken = false;
--- a/src/control/ireplicatedlog.h
+++ b/src/control/ireplicatedlog.h
@@ -3,6 +3,7 @@
 #include "control/types/peermessage.h"
 #include "control/types/proposal.h"
 #include "control/types/replicapeer.h"
+#include "foundation/iclock.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,17 +24,24 @@
 
 std::string_view name(ReplicaRole role);
 
-// One controller's part of the replicated log. Whoever drives it calls tick() often, sends what nextMessage() gives for
-// each peer (one message at a time), and hands over what arrives. Not thread-safe.
+// One controller's part of the replicated log. Whoever drives it calls tick() when dueAt() has come and after whatever
+// arrived, sends what nextMessage() gives for each peer (one message at a time), and hands over what arrives. Not
+// thread-safe.
 class IReplicatedLog {
 public:
     virtual ~IReplicatedLog() = default;
 
     virtual void tick() = 0;
 
+    // When tick(), leaseLive() or leaderHeard() may next give something else unless something arrives before.
+    virtual MonotonicTime dueAt() const = 0;
+
     // Message that is due to the peer now.
     virtual std::optional<PeerMessage> nextMessage(const std::string& peer) = 0;
 
+    // When nextMessage() next gives something for the peer unless something arrives before.
+    virtual MonotonicTime messageDueAt(const std::string& peer) const = 0;
+
     // Answers to messages that nextMessage() gave.
     virtual void onAnswer(const std::string& peer, const PeerMessage& message, const PeerAnswer& answer) = 0;
 
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -26,7 +26,9 @@
     ReplicatedLog(const ReplicatedLogOptions& options, const IClock& clock, IRandom& random, ILogStorage& storage, IStateMachine& machine);
 
     void tick() override;
+    MonotonicTime dueAt() const override;
     std::optional<PeerMessage> nextMessage(const std::string& peer) override;
+    MonotonicTime messageDueAt(const std::string& peer) const override;
     void onAnswer(const std::string& peer, const PeerMessage& message, const PeerAnswer& answer) override;
     schema::VoteResponse onVote(const schema::VoteRequest& request) override;
     schema::AppendResponse onAppend(const schema::AppendRequest& request) override;
@@ -86,7 +88,8 @@
     void noteAcknowledgement(const std::string& peer, std::uint64_t matchIndex, MonotonicTime sent);
     void followLeader(std::uint64_t term, const std::string& endpoint, bool leaseLive);
     void advanceCommit();
-    bool lostMajority() const;
+    MonotonicTime leaseEnd() const;
+    MonotonicTime majorityLostAt() const;
     void stepDown();
     void applyCommitted();
     void push(const std::string& command, bool membership);
--- a/src/control/tests/replicagroup.h
+++ b/src/control/tests/replicagroup.h
@@ -1,12 +1,13 @@
 #pragma once
 
-#include "control/istatemachine.h"
 #include "control/logstorage.h"
 #include "control/replicatedlog.h"
 #include "foundation/seededrandom.h"
 #include "testing/manualclock.h"
 #include "tests/fakefilesystem.h"
+#include "tests/recordingmachine.h"
 
+#include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <functional>
 #include <memory>
@@ -14,35 +15,6 @@
 #include <string>
 #include <vector>
 
-// State machine that remembers every command with its index.
-class RecordingMachine final : public clementinesill::control::IStateMachine {
-public:
-    std::vector<std::string> applied;
-
-    void apply(const clementinesill::schema::LogEntry& entry) override
-    {
-        applied.push_back(std::to_string(entry.index()) + (entry.membership() ? " membership" : " " + entry.command()));
-    }
-
-    std::string snapshot() const override
-    {
-        std::string text;
-        for (const auto& line : applied)
-            text += line + "\n";
-        return text;
-    }
-
-    void restore(std::string_view snapshot) override
-    {
-        applied.clear();
-        while (!snapshot.empty()) {
-            const auto end = snapshot.find('\n');
-            applied.emplace_back(snapshot.substr(0, end));
-            snapshot.remove_prefix(end + 1);
-        }
-    }
-};
-
 // Controllers over fake folders; messages wait in a queue until the test delivers or loses them.
 class ReplicaGroup {
 public:
@@ -126,12 +98,12 @@
         replicas[index]->files.loseEverything();
     }
 
-    // Lets the time pass and collects the messages that are due.
+    // Lets the time pass and collects the messages that are due. What the replicas say of their deadlines must hold.
     void pass(clementinesill::Duration duration)
     {
         clock.advance(duration);
         for (std::size_t from = 0; from < replicas.size(); ++from) {
-            on(from, [](auto& log) { log.tick(); });
+            on(from, [this](auto& log) { tick(log); });
             for (std::size_t to = 0; to < replicas.size(); ++to) {
                 if (to == from)
                     continue;
@@ -140,7 +112,10 @@
                     const bool linked = std::any_of(peers.begin(), peers.end(), [&](const auto& peer) { return peer.name == replicas[to]->name; });
                     if (!linked)
                         return;
-                    if (auto message = log.nextMessage(replicas[to]->name))
+                    const bool due = log.messageDueAt(replicas[to]->name) <= clock.now();
+                    auto message = log.nextMessage(replicas[to]->name);
+                    CHECK_EQUAL(due, message.has_value());
+                    if (message)
                         queue.push_back({ .from = from, .to = to, .message = std::move(*message), .answer = {} });
                 });
             }
@@ -241,6 +216,15 @@
 private:
     Configure m_configure;
 
+    void tick(clementinesill::control::ReplicatedLog& log) const
+    {
+        const bool due = log.dueAt() <= clock.now();
+        const auto role = log.role();
+        const auto term = log.term();
+        log.tick();
+        CHECK(due || (log.role() == role && log.term() == term));
+    }
+
     static clementinesill::control::PeerAnswer answer(clementinesill::control::ReplicatedLog& log, const clementinesill::control::PeerMessage& message)
     {
         using namespace clementinesill;
