--- a/src/admission/iadmission.h
+++ b/src/admission/iadmission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/types/admissiondecision.h"
+#include "admission/types/requestresult.h"
 
 namespace clementinesill::admission {
 
--- a/src/admission/tests/overloadmodel.h
+++ b/src/admission/tests/overloadmodel.h
@@ -2,6 +2,8 @@
 
 #include "admission/admission.h"
 #include "admission/queuedadmission.h"
+#include "admission/tests/overloadoptions.h"
+#include "admission/tests/overloadresult.h"
 #include "foundation/seededrandom.h"
 #include "testing/manualclock.h"
 
@@ -12,34 +14,6 @@
 
 namespace clementinesill::admission {
 
-// What the model's callers and server do.
-struct OverloadOptions {
-    // Arrivals over what the warm server finishes.
-    double load = 1;
-    std::uint64_t seed = 1;
-    Duration length = std::chrono::seconds(60);
-    std::uint32_t slots = 5;
-    Duration serviceTime = std::chrono::milliseconds(20);
-    // Time after which a cold server bears its slots; it bears one request at the start.
-    Duration coldTime { 0 };
-    // When the server turns cold without a restart; never if zero.
-    Duration turnsCold { 0 };
-    bool warmupOff = false;
-    // Without admission and queue: everything goes to the server at once.
-    bool admissionOff = false;
-};
-
-struct OverloadResult {
-    // Answered within the callers' patience, over what the warm server can finish in the time.
-    double goodput = 0;
-    std::uint64_t answered = 0;
-    std::uint64_t refused = 0;
-    std::uint32_t mostAtOnce = 0;
-    // Requests started while the server bore fewer than were running.
-    std::uint64_t overruns = 0;
-    std::uint64_t collapses = 0;
-};
-
 // Discrete events on a manual clock: Poisson callers who come back as Retry-After says, and a server whose requests
 // slow each other down beyond what it bears and which falls over, cold, at three times as many.
 class OverloadModel {
--- a/src/admission/warmuplimit.h
+++ b/src/admission/warmuplimit.h
@@ -2,6 +2,7 @@
 
 #include "admission/latencybaseline.h"
 #include "admission/types/admissiondecision.h"
+#include "admission/types/requestresult.h"
 #include "admission/types/warmupoptions.h"
 
 #include <array>
--- a/src/agent/tests/routedfleet.h
+++ b/src/agent/tests/routedfleet.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include "agent/internal/flowrouter.h"
-#include "agent/internal/flowtable.h"
-#include "agent/internal/misslog.h"
 #include "agent/internal/nexthop.h"
-#include "agent/internal/sequencewindow.h"
-#include "agent/tests/fakeadmission.h"
+#include "agent/tests/routedagent.h"
+#include "agent/tests/sentmessage.h"
 #include "agent/types/tableview.h"
 #include "dataplane/types/genevemessage.h"
 #include "dataplane/types/packetview.h"
@@ -28,32 +25,6 @@
 // Where the agent of a server receives its packets.
 inline Endpoint agentEndpoint(std::uint32_t serverId) { return { .address = 0x7f010000 + serverId, .port = 25000 }; }
 
-// A datagram between processes.
-struct SentMessage {
-    Endpoint target;
-    dataplane::GeneveMessage message;
-    dataplane::PacketView packet;
-};
-
-// One agent: the decision classes with a table of its own.
-struct RoutedAgent {
-    RoutedAgent(const ServerIdentity& identity, const IClock& clock, std::shared_ptr<const fleet::FleetTable> newest, std::uint32_t connectionLimit, std::size_t halfOpenLimit, bool answersRefusals)
-        : identity(identity)
-        , table(std::move(newest))
-        , admission(connectionLimit)
-        , router({ .identity = identity, .flows = flows, .misses = misses, .admission = admission, .clock = clock, .halfOpenLimit = halfOpenLimit, .answersRefusals = answersRefusals })
-    {
-    }
-
-    ServerIdentity identity;
-    std::shared_ptr<const fleet::FleetTable> table;
-    MonotonicTime confirmedAt;
-    FlowTable flows;
-    MissLog misses { 64 };
-    FakeAdmission admission;
-    FlowRouter router;
-};
-
 // Agents, the versions of the table, and a queue of datagrams between them. Nothing moves by itself.
 class RoutedFleet {
 public:
--- /dev/null
+++ b/src/agent/tests/sentmessage.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "dataplane/types/genevemessage.h"
+#include "dataplane/types/packetview.h"
+#include "foundation/types/endpoint.h"
+
+namespace clementinesill::agent {
+
+// A datagram between processes.
+struct SentMessage {
+    Endpoint target;
+    dataplane::GeneveMessage message;
+    dataplane::PacketView packet;
+};
+
+} // namespace clementinesill::agent
--- a/src/control/internal/controllermodule.cpp
+++ b/src/control/internal/controllermodule.cpp
@@ -1,8 +1,10 @@
 #include "control/controllermodule.h"
 
 #include "control/internal/controller.h"
+#include "control/internal/fleetservice.h"
+#include "control/internal/operatorservice.h"
+#include "control/internal/peerservice.h"
 #include "control/internal/replicatedcommandlog.h"
-#include "control/internal/rpcservices.h"
 #include "foundation/error.h"
 #include "foundation/log.h"
 #include "foundation/systemclock.h"
@@ -11,6 +13,7 @@
 #include "settings.pb.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <thread>
--- /dev/null
+++ b/src/control/internal/fleetservice.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "control.grpc.pb.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace clementinesill::control {
+
+class Controller;
+
+// Calls of balancers and agents, each handed to a coroutine.
+class FleetService final : public schema::Fleet::CallbackService {
+public:
+    FleetService(boost::asio::io_context& context, Controller& controller)
+        : m_context(context)
+        , m_controller(controller)
+    {
+    }
+
+    grpc::ServerWriteReactor<schema::TableUpdate>* Watch(grpc::CallbackServerContext* call, const schema::WatchRequest* request) override;
+    grpc::ServerUnaryReactor* Register(grpc::CallbackServerContext* call, const schema::ServerAnnouncement* request, schema::RegisterResponse* response) override;
+    grpc::ServerUnaryReactor* Renew(grpc::CallbackServerContext* call, const schema::RenewRequest* request, schema::RenewResponse* response) override;
+    grpc::ServerUnaryReactor* Leave(grpc::CallbackServerContext* call, const schema::LeaveRequest* request, schema::LeaveResponse* response) override;
+
+private:
+    boost::asio::io_context& m_context;
+    Controller& m_controller;
+};
+
+} // namespace clementinesill::control
--- /dev/null
+++ b/src/control/internal/operatorservice.cpp
@@ -0,0 +1,61 @@
+#include "control/internal/operatorservice.h"
+
+#include "control/internal/controller.h"
+#include "control/internal/rpcanswer.h"
+#include "net/credentials.h"
+
+#include <boost/asio/detached.hpp>
+
+namespace clementinesill::control {
+
+using boost::asio::co_spawn;
+using boost::asio::detached;
+
+namespace {
+
+// The request with the name of its sender's certificate, which goes before the name that the request claims.
+template <typename Request>
+Request identified(const grpc::CallbackServerContext& call, Request request)
+{
+    const auto name = net::peerName(*call.auth_context());
+    if (!name.empty())
+        request.set_operator_name(name);
+    return request;
+}
+
+} // namespace
+
+grpc::ServerUnaryReactor* OperatorService::Apply(grpc::CallbackServerContext* call, const schema::ApplyRequest* request, schema::ChangeResponse* response)
+{
+    return answer(m_context, call, [this, request = identified(*call, *request), response] { return m_controller.applyFiles(request, *response); });
+}
+
+grpc::ServerUnaryReactor* OperatorService::SetZone(grpc::CallbackServerContext* call, const schema::SetZoneRequest* request, schema::ChangeResponse* response)
+{
+    return answer(m_context, call, [this, request = identified(*call, *request), response] { return m_controller.setZone(request, *response); });
+}
+
+grpc::ServerUnaryReactor* OperatorService::DrainServer(grpc::CallbackServerContext* call, const schema::DrainServerRequest* request, schema::ChangeResponse* response)
+{
+    return answer(m_context, call, [this, request = identified(*call, *request), response] { return m_controller.drainServer(request, *response); });
+}
+
+grpc::ServerUnaryReactor* OperatorService::ReadConfig(grpc::CallbackServerContext* call, const schema::ReadConfigRequest*, schema::ReadConfigResponse* response)
+{
+    return answer(m_context, call, [this, response] { return m_controller.readConfig(*response); });
+}
+
+grpc::ServerUnaryReactor* OperatorService::Status(grpc::CallbackServerContext* call, const schema::StatusRequest*, schema::StatusResponse* response)
+{
+    return answer(m_context, call, [this, response] { return m_controller.status(*response); });
+}
+
+grpc::ServerWriteReactor<schema::Event>* OperatorService::Events(grpc::CallbackServerContext*, const schema::EventsRequest* request)
+{
+    auto writer = Controller::EventWriter::create(m_context);
+    co_spawn(
+        m_context, [this, writer, request = *request] { return m_controller.events(writer, request); }, detached);
+    return writer.get();
+}
+
+} // namespace clementinesill::control
--- a/src/control/tests/discoveredgroup.h
+++ b/src/control/tests/discoveredgroup.h
@@ -1,13 +1,8 @@
 #pragma once
 
+#include "tests/firststart.h"
 #include "tests/replicagroup.h"
 
-// Set up before the replicas start.
-struct FirstStart {
-    // Whether this is the fleet's first start.
-    bool firstStart = true;
-};
-
 // Controllers that find each other: the first three form the group at the fleet's first start, the others ask to join.
 class DiscoveredGroup : public FirstStart, public ReplicaGroup {
 public:
--- a/src/control/tests/rpcservices.cpp
+++ b/src/control/tests/rpcservices.cpp
@@ -1,6 +1,6 @@
-#include "control/internal/rpcservices.h"
-
 #include "control/controllermodule.h"
+
+#include "control.grpc.pb.h"
 #include "foundation/metrics.h"
 #include "net/credentials.h"
 #include "net/tests/testauthority.h"
--- a/src/dataplane/internal/genevecodec.cpp
+++ b/src/dataplane/internal/genevecodec.cpp
@@ -1,6 +1,10 @@
 #include "dataplane/genevecodec.h"
 
-#include "dataplane/internal/packetheaders.h"
+#include "dataplane/internal/candidatefields.h"
+#include "dataplane/internal/geneveheader.h"
+#include "dataplane/internal/geneveoptionheader.h"
+#include "dataplane/internal/holderfields.h"
+#include "dataplane/internal/routefields.h"
 #include "dataplane/types/genevemessage.h"
 
 #include <algorithm>
--- /dev/null
+++ b/src/dataplane/internal/geneveoptionheader.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <boost/endian/buffers.hpp>
+
+namespace clementinesill::dataplane {
+
+// Header of a Geneve option (RFC 8926); big-endian and without padding.
+struct GeneveOptionHeader {
+    boost::endian::big_uint16_buf_t optionClass;
+    boost::endian::big_uint8_buf_t type;
+    boost::endian::big_uint8_buf_t length;
+};
+static_assert(sizeof(GeneveOptionHeader) == 4);
+
+} // namespace clementinesill::dataplane
--- a/src/dataplane/internal/packetparser.cpp
+++ b/src/dataplane/internal/packetparser.cpp
@@ -1,6 +1,8 @@
 #include "dataplane/packetparser.h"
 
-#include "dataplane/internal/packetheaders.h"
+#include "dataplane/internal/ipv4header.h"
+#include "dataplane/internal/tcpheader.h"
+#include "dataplane/internal/udpheader.h"
 #include "dataplane/types/packetview.h"
 
 namespace clementinesill::dataplane {
--- /dev/null
+++ b/src/dataplane/internal/routefields.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <boost/endian/buffers.hpp>
+
+namespace clementinesill::dataplane {
+
+// Fields of the option that carries a route, see docs/wire.md; big-endian and without padding.
+struct RouteFields {
+    boost::endian::big_uint64_buf_t tableVersion;
+    boost::endian::big_uint32_buf_t serviceId;
+    boost::endian::big_uint32_buf_t serverId;
+    boost::endian::big_uint32_buf_t incarnation;
+    boost::endian::big_uint32_buf_t balancerAddress;
+    boost::endian::big_uint32_buf_t ingressAddress;
+    boost::endian::big_uint16_buf_t balancerPort;
+    boost::endian::big_uint16_buf_t ingressPort;
+    boost::endian::big_uint8_buf_t hops;
+    boost::endian::big_uint8_buf_t flags;
+    boost::endian::big_uint16_buf_t reserved;
+};
+static_assert(sizeof(RouteFields) == 36);
+
+} // namespace clementinesill::dataplane
--- /dev/null
+++ b/src/dataplane/internal/udpheader.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <boost/endian/buffers.hpp>
+
+namespace clementinesill::dataplane {
+
+// UDP header as it lies in a packet (RFC 768); big-endian and without padding.
+struct UdpHeader {
+    boost::endian::big_uint16_buf_t sourcePort;
+    boost::endian::big_uint16_buf_t destinationPort;
+    boost::endian::big_uint16_buf_t length;
+    boost::endian::big_uint16_buf_t checksum;
+};
+static_assert(sizeof(UdpHeader) == 8);
+
+} // namespace clementinesill::dataplane
--- a/src/framework/foundation/log.h
+++ b/src/framework/foundation/log.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "foundation/types/logfield.h"
+#include "foundation/types/loglevel.h"
+#include "foundation/types/logoptions.h"
 
 #include <initializer_list>
 #include <string>
@@ -8,16 +10,6 @@
 
 namespace clementinesill {
 
-enum class LogLevel {
-    Debug,
-    Info,
-    Warn,
-    Error,
-};
-
-// Reads "debug", "info", "warn" or "error"; Info for an empty text. Throws Error (InvalidArgument).
-LogLevel parseLogLevel(std::string_view text);
-
 // Keys of fields that many lines carry.
 namespace logkey {
 inline constexpr std::string_view flow = "flow";
@@ -30,19 +22,6 @@
 inline constexpr std::string_view remedy = "remedy";
 } // namespace logkey
 
-// How and where log lines are written.
-struct LogOptions {
-    LogLevel level = LogLevel::Info;
-    // One JSON object a line; text otherwise.
-    bool json = true;
-    // Standard error if empty.
-    std::string file;
-    // Standard output instead of standard error.
-    bool standardOutput = false;
-    // Added to each line as "daemon".
-    std::string daemon;
-};
-
 // Sets up logging for the process, once, before other threads log. Throws Error (Storage) if the file cannot be opened.
 void configureLog(const LogOptions& options);
 
--- /dev/null
+++ b/src/framework/foundation/types/logoptions.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "foundation/types/loglevel.h"
+
+#include <string>
+
+namespace clementinesill {
+
+// How and where log lines are written.
+struct LogOptions {
+    LogLevel level = LogLevel::Info;
+    // One JSON object a line; text otherwise.
+    bool json = true;
+    // Standard error if empty.
+    std::string file;
+    // Standard output instead of standard error.
+    bool standardOutput = false;
+    // Added to each line as "daemon".
+    std::string daemon;
+};
+
+} // namespace clementinesill
--- a/src/operators/internal/jsonparser.h
+++ b/src/operators/internal/jsonparser.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foundation/types/errorkind.h"
-#include "operators/internal/jsonnode.h"
+#include "operators/internal/jsonmember.h"
 
 #include <string>
 #include <string_view>
--- a/src/requests/internal/requestadmitter.h
+++ b/src/requests/internal/requestadmitter.h
@@ -4,7 +4,6 @@
 #include "requests/internal/signal.h"
 
 #include <map>
-#include <utility>
 
 namespace clementinesill::requests {
 
@@ -31,27 +30,4 @@
     std::map<std::uint64_t, Waiter> m_waiters;
 };
 
-// One admitted request; ends it as cancelled unless it was finished before.
-class RequestTicket {
-public:
-    explicit RequestTicket(RequestAdmitter& admitter)
-        : m_admitter(&admitter)
-    {
-    }
-
-    ~RequestTicket() { finish({ .end = admission::RequestEnd::Cancelled }); }
-    RequestTicket(const RequestTicket&) = delete;
-    RequestTicket& operator=(const RequestTicket&) = delete;
-
-    // Only the first call counts.
-    void finish(const admission::RequestResult& result)
-    {
-        if (auto* admitter = std::exchange(m_admitter, nullptr))
-            admitter->finish(result);
-    }
-
-private:
-    RequestAdmitter* m_admitter;
-};
-
 } // namespace clementinesill::requests
--- a/src/requests/internal/requesttask.h
+++ b/src/requests/internal/requesttask.h
@@ -6,6 +6,7 @@
 #include "requests/internal/keyguard.h"
 #include "requests/internal/localanswer.h"
 #include "requests/internal/requestreader.h"
+#include "requests/internal/requestticket.h"
 #include "requests/internal/watchdog.h"
 #include "requests/types/callercontext.h"
 
