Elect the former leader at once after a restart of all controllers

Cause: after a restart of everything the group waited 0.35 to 0.7 s for an election, since each restarted controller must assume that it acknowledged a leader whose lease still runs, and a vote that a starting peer did not answer was not asked for again in that election. Ruled out: a shorter election timeout, which would elect on a slow disk; votes before the wait is over from any candidate, since a leader that did not restart may hold a lease. Change: a candidate that itself led in the newest term it knows says so. Leases before its term ended when it was elected, and its own ended with its office, so whoever knows of no later term votes at once. A vote that got no answer is asked for again. Before: ReplicatedLog.AfterARestartOfAllTheFormerLeaderLeadsOnceAMajorityIsBack needs the new claim (0.35 s or more).

--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -69,8 +69,18 @@
     m_electionDeadline = m_clock.now() + m_options.shortestElectionTimeout + Duration(static_cast<Duration::rep>(extra));
 }
 
+// The term of the newest entry, if this controller wrote that entry itself: it led then, and has left that office, as it
+// votes now. The leases of earlier leaders had ended before, and nobody has led since as far as it knows.
+std::uint64_t ReplicatedLog::formerTerm() const
+{
+    const bool ledLast = m_vote.voted_for() == m_options.name && m_log.lastTerm() == m_vote.term();
+    return ledLast ? m_vote.term() : 0;
+}
+
 void ReplicatedLog::startVoting(ReplicaRole role)
 {
+    if (role == ReplicaRole::PreCandidate)
+        m_formerTerm = formerTerm();
     if (role == ReplicaRole::Candidate)
         saveVote(m_vote.term() + 1, m_options.name);
     m_role = role;
@@ -117,6 +127,7 @@
     request.set_last_index(m_log.lastIndex());
     request.set_last_term(m_log.lastTerm());
     request.set_disk_identity(voter->disk_identity());
+    request.set_former_term(m_formerTerm);
     return PeerMessage { .request = std::move(request), .sent = m_clock.now() };
 }
 
@@ -141,11 +152,23 @@
     return request.last_index() >= m_log.lastIndex();
 }
 
+// Whether a leader other than the candidate may rely on this controller to give no vote yet. Whoever acknowledged the
+// candidate's own former term, or an earlier one, and none since, supports no other lease: those before ended when the
+// candidate was elected.
+bool ReplicatedLog::mayHoldLease(const schema::VoteRequest& request) const
+{
+    if (leaseLive())
+        return true;
+    if (request.former_term() && m_vote.term() <= request.former_term())
+        return false;
+    return m_leaderContact + m_options.shortestElectionTimeout > m_clock.now();
+}
+
 ReplicatedLog::VoteRefusal ReplicatedLog::refusal(const schema::VoteRequest& request) const
 {
     if (request.disk_identity() != m_diskIdentity)
         return VoteRefusal::OtherDataFolder;
-    if (m_leaderContact + m_options.shortestElectionTimeout > m_clock.now() || leaseLive())
+    if (mayHoldLease(request))
         return VoteRefusal::LeaderHeard;
     if (request.term() < m_vote.term())
         return VoteRefusal::OldTerm;
--- a/src/control/internal/peerlink.cpp
+++ b/src/control/internal/peerlink.cpp
@@ -42,6 +42,7 @@
             m_log.onAnswer(m_peer.name, *message, *answer);
             m_answered();
         } else {
+            m_log.onFailure(m_peer.name, *message);
             // The connection may have gone silent for good.
             m_stub = peerStub(m_peer.endpoint, m_credentials);
             co_await m_wakeup.wait(retryInterval);
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -46,6 +46,9 @@
     m_commitIndex = m_log.snapshot().last_index();
     m_appliedIndex = m_commitIndex;
     resetElectionTimeout();
+    // Whoever led last need not wait for a lease of another.
+    if (formerTerm())
+        m_electionDeadline = clock.now();
     if (formsGroup() && m_options.peers.size() <= 1)
         formGroup();
 }
@@ -117,6 +120,13 @@
         onDescribeAnswer(peer, *description);
 }
 
+// A vote is asked for again while the election lasts: the peer may be starting.
+void ReplicatedLog::onFailure(const std::string& peer, const PeerMessage& message)
+{
+    if (std::holds_alternative<schema::VoteRequest>(message.request))
+        m_asked.erase(peer);
+}
+
 schema::AppendResponse ReplicatedLog::onAppend(const schema::AppendRequest& request)
 {
     schema::AppendResponse response;
--- a/src/control/ireplicatedlog.h
+++ b/src/control/ireplicatedlog.h
@@ -45,6 +45,9 @@
     // Answers to messages that nextMessage() gave.
     virtual void onAnswer(const std::string& peer, const PeerMessage& message, const PeerAnswer& answer) = 0;
 
+    // A message that nextMessage() gave got no answer.
+    virtual void onFailure(const std::string& peer, const PeerMessage& message) = 0;
+
     virtual schema::VoteResponse onVote(const schema::VoteRequest& request) = 0;
     virtual schema::AppendResponse onAppend(const schema::AppendRequest& request) = 0;
     virtual schema::SnapshotResponse onSnapshot(const schema::SnapshotRequest& request) = 0;
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -30,6 +30,7 @@
     std::optional<PeerMessage> nextMessage(const std::string& peer) override;
     MonotonicTime messageDueAt(const std::string& peer) const override;
     void onAnswer(const std::string& peer, const PeerMessage& message, const PeerAnswer& answer) override;
+    void onFailure(const std::string& peer, const PeerMessage& message) override;
     schema::VoteResponse onVote(const schema::VoteRequest& request) override;
     schema::AppendResponse onAppend(const schema::AppendRequest& request) override;
     schema::SnapshotResponse onSnapshot(const schema::SnapshotRequest& request) override;
@@ -65,10 +66,12 @@
     void saveVote(std::uint64_t term, const std::string& votedFor);
     void adoptTerm(std::uint64_t term);
     void resetElectionTimeout();
+    std::uint64_t formerTerm() const;
     void startVoting(ReplicaRole role);
     void countVotes();
     void becomeLeader();
     bool upToDate(const schema::VoteRequest& request) const;
+    bool mayHoldLease(const schema::VoteRequest& request) const;
     VoteRefusal refusal(const schema::VoteRequest& request) const;
     std::optional<PeerMessage> nextVoteRequest(const std::string& peer);
     void onVoteAnswer(const std::string& peer, const schema::VoteRequest& request, const schema::VoteResponse& response);
@@ -121,6 +124,8 @@
     MonotonicTime m_leaseContact;
     std::set<std::string> m_votes;
     std::set<std::string> m_asked;
+    // What this candidate claims; see formerTerm().
+    std::uint64_t m_formerTerm = 0;
     std::map<std::string, schema::DescribeResponse> m_described;
     std::map<std::string, MonotonicTime> m_nextDescribe;
     Replication m_replication;
--- a/src/control/tests/replicagroup.h
+++ b/src/control/tests/replicagroup.h
@@ -137,6 +137,8 @@
         on(message.to, [&](auto& log) { message.answer = answer(log, message.message); });
         if (message.answer)
             queue.push_back(std::move(message));
+        else
+            on(message.from, [&](auto& log) { log.onFailure(replicas[message.to]->name, message.message); });
     }
 
     void deliverAll()
--- a/src/control/tests/replicatedlog.cpp
+++ b/src/control/tests/replicatedlog.cpp
@@ -217,6 +217,53 @@
     CHECK(group.settle([&] { return group.replicas[old]->log->role() != ReplicaRole::Leader; }));
 }
 
+// Load pattern: all VMs lose power and come back within a second; nothing is served until a leader is elected.
+TEST(ReplicatedLog, AfterARestartOfAllTheFormerLeaderLeadsOnceAMajorityIsBack)
+{
+    ReplicaGroup group(5);
+    CHECK(group.settleLeader());
+    const auto former = *group.leader();
+    for (std::size_t index = 0; index < 5; ++index)
+        group.kill(index);
+    group.start(former);
+    const auto passShortly = [&](int milliseconds) {
+        for (int passed = 0; passed < milliseconds; passed += 10) {
+            group.pass(std::chrono::milliseconds(10));
+            group.deliverAll();
+        }
+    };
+    passShortly(200);
+    CHECK_FALSE(group.leader());
+    group.start((former + 1) % 5);
+    group.start((former + 2) % 5);
+    passShortly(100);
+    CHECK(group.leader() == former);
+}
+
+TEST(ReplicatedLog, WhoeverHeardALaterLeaderWaitsBeforeItVotesForAFormerOne)
+{
+    ReplicaGroup group(3);
+    CHECK(group.settleLeader());
+    const auto former = *group.leader();
+    const auto others = std::pair((former + 1) % 3, (former + 2) % 3);
+    group.kill(former);
+    CHECK(group.settleLeader());
+    const auto later = *group.leader();
+    const auto voter = later == others.first ? others.second : others.first;
+    // The later leader is cut off and keeps its lease for a while; the voter restarts and has forgotten whom it heard.
+    group.cuts = { { later, former }, { later, voter } };
+    group.kill(voter);
+    group.start(voter);
+    group.start(former);
+    bool overlapping = false;
+    CHECK(group.settle([&] {
+        const auto leads = [&](auto index) { return group.replicas[index]->log->leaseLive(); };
+        overlapping = overlapping || (leads(later) && (leads(former) || leads(voter)));
+        return leads(former) || leads(voter);
+    }));
+    CHECK_FALSE(overlapping);
+}
+
 TEST(ReplicatedLog, RestartAfterHundredsOfChangesIsExact)
 {
     ReplicaGroup group(3);
