Keep queues short for callers who come back together

Cause: after an outage the waiting callers' copies of opening packets filled every server's queue up to half of the route's timeout (0.75 s), so that all requests of the next two seconds were late, the new ones too. Change: the last server asked queues a first opening packet for at most a third of the route's latency target and a copy not at all; a caller whose copy finds no slot may find one with the next, and is told at once after its last one.

--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -18,9 +18,9 @@
 
 namespace {
 
-// Part of a route's timeout that a request may spend in the queue of the last server asked; the rest is for its way and
+// Part of the latency target that a request may spend in the queue of the last server asked; the rest is for its way and
 // its work.
-constexpr int worthwhileWaitDivisor = 2;
+constexpr int worthwhileWaitDivisor = 3;
 // Agents that may pass one packet on: each takes about a millisecond, and a caller's retransmission asks again.
 constexpr std::uint8_t maximumHops = 200;
 
@@ -77,7 +77,7 @@
         return passOpening(search, packet, view, reason);
     if (reason == RelayReason::Busy) {
         const auto next = passOpening(search, packet, view, reason);
-        if (next.action == RelayAction::PassOn || !worthWaiting(route))
+        if (next.action == RelayAction::PassOn || !worthWaiting(packet, route))
             return next;
     }
     m_options.flows.open(packet);
@@ -115,9 +115,16 @@
     return m_options.load.hasFreeSlot() ? RelayReason::Admitted : RelayReason::Busy;
 }
 
-bool RelayRouter::worthWaiting(const fleet::RouteEntry* route) const
+// Load pattern: callers who got no answer for a while come back all at once, beside the new ones. A queue that they fill
+// makes everybody late, so whoever has waited already takes free slots only.
+bool RelayRouter::worthWaiting(const FlowPacket& packet, const fleet::RouteEntry* route) const
 {
-    return !route || m_options.load.expectedWait() <= route->timeout / worthwhileWaitDivisor;
+    if (packet.earlierCopies())
+        return false;
+    if (!route)
+        return true;
+    const auto target = route->targetLatency.count() ? route->targetLatency : route->timeout;
+    return m_options.load.expectedWait() <= target / worthwhileWaitDivisor;
 }
 
 RelayDecision RelayRouter::passOpening(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason reason)
@@ -129,7 +136,11 @@
                 return passTo(*server, reason);
         }
     }
-    return senderIsNewer(search, view) ? drop(RelayReason::TableTooOld) : reset(RelayReason::TakenByNobody);
+    if (senderIsNewer(search, view))
+        return drop(RelayReason::TableTooOld);
+    // A slot may be free when the caller's next copy comes; after the last one it is told at once.
+    const bool full = reason == RelayReason::Busy || reason == RelayReason::Cold;
+    return full && !packet.lastCopy() ? drop(RelayReason::NoSlotYet) : reset(RelayReason::TakenByNobody);
 }
 
 RelayDecision RelayRouter::follow(const Search& search, const FlowPacket& packet, const agent::TableView& view)
--- a/src/passthrough/relayrouter.h
+++ b/src/passthrough/relayrouter.h
@@ -51,7 +51,7 @@
     RelayDecision passOn(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason reason);
     RelayReason obstacle(const Search& search, std::uint32_t serviceId, const agent::TableView& view);
     std::uint32_t serviceFor(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
-    bool worthWaiting(const fleet::RouteEntry* route) const;
+    bool worthWaiting(const FlowPacket& packet, const fleet::RouteEntry* route) const;
     const fleet::ServerEntry* nextInRank(const Search& search, std::uint64_t flowHash, const agent::TableView& view) const;
     const fleet::ServerEntry* nextHolder(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
 
--- a/src/passthrough/types/flowpacket.h
+++ b/src/passthrough/types/flowpacket.h
@@ -8,6 +8,9 @@
 
 // Header of a packet between a caller and a server, whatever its format on the wire.
 struct FlowPacket {
+    // Copies of an opening packet that a caller sends while it gets no answer; docs/platform.md.
+    static constexpr std::uint32_t copiesSent = 2;
+
     // Source as caller, destination as service; reversed for a server's own packets.
     fleet::FlowKey key;
     bool syn = false;
@@ -27,6 +30,9 @@
     // For a packet that opens a flow: how many copies of it were sent before.
     std::uint32_t earlierCopies() const { return acknowledgement; }
 
+    // For a packet that opens a flow: whether the caller sends no more copies of it.
+    bool lastCopy() const { return earlierCopies() >= copiesSent; }
+
     // The flow, for a packet that a server sent.
     fleet::FlowKey flowOfAnswer() const { return { .caller = key.service, .service = key.caller, .protocol = key.protocol }; }
 };
--- a/src/passthrough/types/relaydecision.h
+++ b/src/passthrough/types/relaydecision.h
@@ -40,6 +40,8 @@
     Busy,
     WrongService,
     HandedBack,
+    // Every server was asked, and none has a slot or bears more now; the caller asks again soon.
+    NoSlotYet,
     // Every server was asked.
     TakenByNobody,
     HeldByNobody,
@@ -52,7 +54,7 @@
     SearchBounded,
     ResetNotHeld,
 };
-constexpr std::size_t relayReasons = 22;
+constexpr std::size_t relayReasons = 23;
 
 std::string_view name(RelayAction action);
 std::string_view name(RelayReason reason);
