Dial all controllers at once for a first table

Cause: after a restart of everything each daemon asked one controller after the other for its first table, and one whose VM was not back yet cost 0.3 s; controllers without a leader refused, and the daemon came back up to 0.15 s later. Ruled out: first tables from followers, which may be older than what a daemon in touch has shown; looking at the channels without waiting on them, since gRPC makes progress only while somebody waits (tried: tables 4.4 s late, next poll of gRPC). Change: a daemon without a table dials all controllers it knows, and asks one that is reached; a controller that has just started lets daemons wait for its group's leader and then names it; servers are registered with the controller that gave the first table. Tests: ControllersThatSayNothingDelayNoFirstTable, AControllerThatHasJustStartedLetsDaemonsWaitForItsGroupsLeader, PrefersOneThatIsReached.

--- a/src/control/icommandlog.h
+++ b/src/control/icommandlog.h
@@ -28,6 +28,9 @@
     // Whether this controller leads, or has heard in time from a leader whose lease is live.
     virtual bool current() const = 0;
 
+    // Whether this controller has started so recently that its group may not have had the time to elect a leader.
+    virtual bool mayBeElecting() const = 0;
+
     // gRPC endpoint of the leader, empty if unknown.
     virtual std::string leaderEndpoint() const = 0;
 
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -14,6 +14,8 @@
 using boost::asio::co_spawn;
 using boost::asio::detached;
 
+// Time in which controllers that start together elect a leader: their VMs come back within a second, and two rounds of votes.
+constexpr auto firstElectionTimeout = std::chrono::seconds(3);
 // How long a command may take to be accepted before its outcome is called unknown.
 constexpr auto submitTimeout = std::chrono::seconds(4);
 
@@ -37,6 +39,7 @@
     , m_log(options, clock, m_random, m_failStop, m_machine)
     , m_credentials(credentials)
     , m_deadline(context)
+    , m_firstElectionEnd(clock.now() + firstElectionTimeout)
 {
     if (seeds)
         m_joiner = std::make_unique<GroupJoiner>(context, GroupJoinerOptions { .name = options.name, .endpoint = options.endpoint, .log = m_log, .seeds = std::move(seeds), .credentials = credentials });
@@ -178,9 +181,15 @@
     m_seenVersion = m_state.version();
     m_seenLeading = leading;
     m_seenCurrent = current;
+    m_everCurrent = m_everCurrent || current;
     m_changed();
 }
 
+bool ReplicatedCommandLog::mayBeElecting() const
+{
+    return !m_everCurrent && m_clock.now() < m_firstElectionEnd;
+}
+
 std::vector<std::string> ReplicatedCommandLog::members() const
 {
     std::vector<std::string> endpoints;
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -32,6 +32,7 @@
     boost::asio::awaitable<CommandResult> submit(schema::Command command) override;
     bool leading() const override { return m_log.leaseLive(); }
     bool current() const override { return m_log.leaderHeard(); }
+    bool mayBeElecting() const override;
     std::string leaderEndpoint() const override { return m_log.leaderEndpoint(); }
     std::vector<std::string> members() const override;
     void describe(schema::StatusResponse& response) const override;
@@ -90,6 +91,9 @@
     std::uint64_t m_seenVersion = 0;
     bool m_seenLeading = false;
     bool m_seenCurrent = false;
+    // Until when a group whose members start together may need for its first leader.
+    MonotonicTime m_firstElectionEnd;
+    bool m_everCurrent = false;
 };
 
 } // namespace clementinesill::control
--- a/src/control/internal/tablefeed.cpp
+++ b/src/control/internal/tablefeed.cpp
@@ -7,6 +7,8 @@
 
 FeedDecision TableFeed::next(std::uint64_t held) const
 {
+    if (!m_log.current() && m_log.mayBeElecting())
+        return { .action = FeedDecision::Action::Wait, .reason = "this controller's group elects a leader" };
     if (!m_log.current())
         return { .action = FeedDecision::Action::Refuse, .reason = "this controller has no live lease; ask another one" };
     if (!held && !m_log.leading())
--- a/src/control/tests/tablefeed.cpp
+++ b/src/control/tests/tablefeed.cpp
@@ -14,11 +14,13 @@
 class FakeCommandLog final : public ICommandLog {
 public:
     bool leads = false;
+    bool electing = false;
     bool hears = true;
 
     boost::asio::awaitable<CommandResult> submit(schema::Command) override { co_return CommandResult {}; }
     bool leading() const override { return leads; }
     bool current() const override { return leads || hears; }
+    bool mayBeElecting() const override { return electing; }
     std::vector<std::string> members() const override { return {}; }
     std::string leaderEndpoint() const override { return {}; }
     void describe(schema::StatusResponse&) const override { }
@@ -52,6 +54,18 @@
     CHECK(feed.next(0).action == FeedDecision::Action::Refuse);
 }
 
+// Load pattern: all VMs start together, and every daemon asks for its first table before a leader is elected.
+TEST(TableFeed, AControllerThatHasJustStartedLetsDaemonsWaitForItsGroupsLeader)
+{
+    log.hears = false;
+    log.electing = true;
+    CHECK(feed.next(0).action == FeedDecision::Action::Wait);
+    log.hears = true;
+    CHECK(feed.next(0).action == FeedDecision::Action::Refuse);
+    log.leads = true;
+    CHECK(feed.next(0).action == FeedDecision::Action::Send);
+}
+
 TEST(TableFeed, FirstTableComesFromTheLeaderOnly)
 {
     CHECK(feed.next(0).action == FeedDecision::Action::Refuse);
--- a/src/control/types/feeddecision.h
+++ b/src/control/types/feeddecision.h
@@ -14,7 +14,7 @@
 struct FeedDecision {
     enum class Action {
         Send,
-        // Nothing to tell yet: this controller is behind the daemon.
+        // Nothing to tell yet: this controller is behind the daemon, or waits for its group's first leader.
         Wait,
         // The daemon is to ask another controller; reason tells why.
         Refuse,
--- a/src/fleet/controllerchoice.h
+++ b/src/fleet/controllerchoice.h
@@ -2,6 +2,7 @@
 
 #include "foundation/iclock.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
     // Asks these controllers from now on; the current one stays current if it is among them. endpoints must not be empty.
     void replaceEndpoints(std::vector<std::string> endpoints);
 
+    // Moves to the first controller, from the current one on, for which reached says so; false if there is none.
+    bool prefer(const std::function<bool(const std::string&)>& reached);
+
     // The current controller answered: the next failure starts with the shortest wait again.
     void succeeded()
     {
--- a/src/fleet/internal/controllerchoice.cpp
+++ b/src/fleet/internal/controllerchoice.cpp
@@ -28,6 +28,18 @@
     m_endpoints = std::move(endpoints);
 }
 
+bool ControllerChoice::prefer(const std::function<bool(const std::string&)>& reached)
+{
+    for (std::size_t step = 0; step < m_endpoints.size(); ++step) {
+        const auto index = (m_current + step) % m_endpoints.size();
+        if (!reached(m_endpoints[index]))
+            continue;
+        m_current = index;
+        return true;
+    }
+    return false;
+}
+
 Duration ControllerChoice::failed()
 {
     m_current = (m_current + 1) % m_endpoints.size();
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <grpcpp/grpcpp.h>
+#include <span>
+#include <utility>
 
 namespace clementinesill::fleet {
 
@@ -17,6 +19,9 @@
 // until it is told.
 constexpr auto urgentBackoff = std::chrono::milliseconds(150);
 constexpr auto relaxedBackoff = std::chrono::seconds(1);
+// How long controllers are dialled before one that is not reached yet is asked, and how often that is looked at.
+constexpr auto dialTimeout = std::chrono::milliseconds(300);
+constexpr auto dialInterval = std::chrono::milliseconds(20);
 constexpr auto registerTimeout = std::chrono::seconds(20);
 constexpr auto renewTimeout = std::chrono::seconds(3);
 constexpr auto leaveTimeout = std::chrono::seconds(5);
@@ -29,6 +34,19 @@
 // Largest table accepted, in bytes.
 constexpr int maximumMessageBytes = 64 << 20;
 
+// Lets the channels connect for a moment: gRPC makes progress only while somebody waits for it.
+void dial(std::span<const std::shared_ptr<grpc::Channel>> channels)
+{
+    grpc::CompletionQueue queue;
+    const auto deadline = std::chrono::system_clock::now() + dialInterval;
+    for (const auto& channel : channels)
+        channel->NotifyOnStateChange(channel->GetState(true), deadline, &queue, nullptr);
+    queue.Shutdown();
+    void* tag = nullptr;
+    bool changed = false;
+    while (queue.Next(&tag, &changed)) { }
+}
+
 // The one event that is outstanding on the watch's queue.
 void* const watchTag = nullptr;
 
@@ -147,7 +165,10 @@
     auto lastReceived = m_clock.now();
     bool alone = false;
     choice.setLongestBackoff(urgentBackoff);
+    bool followed = false;
     while (!m_stopping) {
+        if (!m_table.version() && !followed)
+            preferReached(choice);
         const auto end = watchOnce(choice.current());
         if (m_stopping)
             return;
@@ -163,7 +184,8 @@
         }
         log(LogLevel::Info, "watch_ended", { { .key = "controller", .value = choice.current() }, { .key = "version", .value = std::to_string(m_table.version()) }, { .key = "reason", .value = end.reason } });
         if (!end.refused)
-            dropStub(choice.current());
+            dropConnection(choice.current());
+        followed = end.refused;
         learnHint(choice, end.hint);
         pause(end.refused ? choice.follow(end.hint) : choice.failed());
     }
@@ -205,10 +227,29 @@
 }
 
 // A connection that has gone silent is not used again: the next call opens a new one.
-void GrpcFleetClient::dropStub(const std::string& endpoint)
+void GrpcFleetClient::dropConnection(const std::string& endpoint)
 {
     const std::lock_guard lock(m_mutex);
-    m_stubs.erase(endpoint);
+    m_connections.erase(endpoint);
+}
+
+// Without a table nothing is served: all controllers are dialled at once and one that is reached is asked first, so that a
+// VM that is down delays nothing.
+void GrpcFleetClient::preferReached(ControllerChoice& choice)
+{
+    const auto deadline = m_clock.now() + dialTimeout;
+    const auto reached = [this](const auto& endpoint) { return connection(endpoint).channel->GetState(true) == GRPC_CHANNEL_READY; };
+    while (!m_stopping && m_clock.now() < deadline) {
+        std::vector<std::shared_ptr<grpc::Channel>> channels;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (choice.prefer(reached))
+                return;
+            for (const auto& endpoint : controllers())
+                channels.push_back(connection(endpoint).channel);
+        }
+        dial(channels);
+    }
 }
 
 GrpcFleetClient::WatchEnd GrpcFleetClient::watchOnce(const std::string& endpoint)
@@ -218,21 +259,22 @@
     request.set_role(roleOf(m_settings));
     request.set_zone(m_settings.zone());
     request.set_version(m_table.version());
-    const auto target = stub(endpoint);
+    std::shared_ptr<Stub> target;
     grpc::ClientContext context;
     {
         const std::lock_guard lock(m_mutex);
         if (m_stopping)
             return {};
+        target = connection(endpoint).stub;
         m_watched = &context;
     }
-    auto end = readWatch(*target, request, context);
+    auto end = readWatch(endpoint, *target, request, context);
     const std::lock_guard lock(m_mutex);
     m_watched = nullptr;
     return end;
 }
 
-GrpcFleetClient::WatchEnd GrpcFleetClient::readWatch(Stub& target, const schema::WatchRequest& request, grpc::ClientContext& context)
+GrpcFleetClient::WatchEnd GrpcFleetClient::readWatch(const std::string& endpoint, Stub& target, const schema::WatchRequest& request, grpc::ClientContext& context)
 {
     WatchStream stream(target, request, context);
     WatchEnd end;
@@ -244,6 +286,8 @@
             end.reason = "the controller's update does not fit the table held";
             return end;
         }
+        if (!end.received)
+            noteFirstTable(endpoint);
         end.received = true;
         learnControllers(*update);
         staleHeartbeats = m_holder.highestVersionSeen() > m_table.version() ? staleHeartbeats + 1 : 0;
@@ -298,20 +342,38 @@
     m_stopped.wait_for(lock, duration, [this] { return m_stopping.load(); });
 }
 
-std::shared_ptr<GrpcFleetClient::Stub> GrpcFleetClient::stub(const std::string& endpoint)
+// The controller that gave the first table leads; servers are registered with it. The other connections are closed.
+void GrpcFleetClient::noteFirstTable(const std::string& endpoint)
 {
     const std::lock_guard lock(m_mutex);
-    auto& stub = m_stubs[endpoint];
-    if (stub)
-        return stub;
+    if (std::exchange(m_tableTaken, true))
+        return;
+    m_callChoice.prefer([&](const auto& known) { return known == endpoint; });
+    std::erase_if(m_connections, [&](const auto& known) { return known.first != endpoint; });
+    m_stopped.notify_all();
+}
+
+void GrpcFleetClient::awaitFirstTable(MonotonicTime deadline)
+{
+    std::unique_lock lock(m_mutex);
+    m_stopped.wait_for(lock, deadline - m_clock.now(), [this] { return m_stopping || m_tableTaken; });
+}
+
+// Called with m_mutex held.
+const GrpcFleetClient::Connection& GrpcFleetClient::connection(const std::string& endpoint)
+{
+    auto& connection = m_connections[endpoint];
+    if (connection.channel)
+        return connection;
     grpc::ChannelArguments arguments;
     arguments.SetMaxReceiveMessageSize(maximumMessageBytes);
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 300);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 2000);
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-    stub = schema::Fleet::NewStub(grpc::CreateCustomChannel(endpoint, m_credentials.channel(), arguments));
-    return stub;
+    connection.channel = grpc::CreateCustomChannel(endpoint, m_credentials.channel(), arguments);
+    connection.stub = schema::Fleet::NewStub(connection.channel);
+    return connection;
 }
 
 template <typename Request, typename Response>
@@ -321,14 +383,16 @@
     std::string problem = "no controller was asked";
     while (!m_stopping && m_clock.now() < deadline) {
         std::string endpoint;
+        std::shared_ptr<Stub> target;
         {
             const std::lock_guard lock(m_mutex);
             endpoint = m_callChoice.current();
+            target = connection(endpoint).stub;
         }
         grpc::ClientContext context;
         context.set_deadline(std::chrono::system_clock::now() + std::min<Duration>(callTimeout, deadline - m_clock.now()));
         Response response;
-        const auto status = ((*stub(endpoint)).*method)(&context, request, &response);
+        const auto status = ((*target).*method)(&context, request, &response);
         const auto& outcome = response.outcome();
         std::unique_lock lock(m_mutex);
         if (status.ok() && !worthRetrying(outcome.code())) {
@@ -337,7 +401,7 @@
         }
         problem = status.ok() ? outcome.message() : status.error_message();
         if (!status.ok())
-            m_stubs.erase(endpoint);
+            m_connections.erase(endpoint);
         const auto wait = status.ok() ? m_callChoice.follow(outcome.leader_hint()) : m_callChoice.failed();
         m_stopped.wait_for(lock, wait, [this] { return m_stopping.load(); });
     }
@@ -348,6 +412,8 @@
 {
     const auto deadline = m_clock.now() + registerTimeout;
     schema::RegisterResponse response;
+    // Only the leader registers servers, and it is known by the first table.
+    awaitFirstTable(deadline);
     do {
         response = call(&Stub::Register, announcement, deadline - m_clock.now());
         if (response.outcome().code() != schema::Outcome::CODE_NOT_FOUND)
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -17,6 +17,10 @@
 #include <mutex>
 #include <thread>
 
+namespace grpc {
+class Channel;
+}
+
 namespace clementinesill::fleet {
 
 // Fleet client over gRPC. One thread watches the table; calls run on their callers' threads.
@@ -35,6 +39,11 @@
 private:
     using Stub = schema::Fleet::Stub;
 
+    struct Connection {
+        std::shared_ptr<grpc::Channel> channel;
+        std::shared_ptr<Stub> stub;
+    };
+
     // Why a watch ended, and where to go on.
     struct WatchEnd {
         bool received = false;
@@ -45,15 +54,18 @@
 
     void watchLoop();
     WatchEnd watchOnce(const std::string& endpoint);
-    WatchEnd readWatch(Stub& target, const schema::WatchRequest& request, grpc::ClientContext& context);
+    WatchEnd readWatch(const std::string& endpoint, Stub& target, const schema::WatchRequest& request, grpc::ClientContext& context);
     bool takeUpdate(const schema::TableUpdate& update);
     void offerTable();
     void pause(Duration duration);
+    void preferReached(ControllerChoice& choice);
+    void noteFirstTable(const std::string& endpoint);
+    void awaitFirstTable(MonotonicTime deadline);
     void learnControllers(const schema::TableUpdate& update);
     void learnHint(ControllerChoice& choice, const std::string& hint);
-    void dropStub(const std::string& endpoint);
+    void dropConnection(const std::string& endpoint);
     std::vector<std::string> controllers() const;
-    std::shared_ptr<Stub> stub(const std::string& endpoint);
+    const Connection& connection(const std::string& endpoint);
 
     // Calls controllers until one gives a final outcome or the time is over; then throws Error (Unavailable).
     template <typename Request, typename Response>
@@ -75,7 +87,8 @@
     // gRPC endpoints that controllers have named, beside those of the source.
     std::vector<std::string> m_learned;
     ControllerChoice m_callChoice;
-    std::map<std::string, std::shared_ptr<Stub>> m_stubs;
+    std::map<std::string, Connection> m_connections;
+    bool m_tableTaken = false;
     // The stream that is read now, if any.
     grpc::ClientContext* m_watched = nullptr;
 };
--- a/src/fleet/tests/controllerchoice.cpp
+++ b/src/fleet/tests/controllerchoice.cpp
@@ -34,6 +34,17 @@
     CHECK(longest <= std::chrono::seconds(2));
 }
 
+TEST(ControllerChoice, PrefersOneThatIsReached)
+{
+    const auto before = choice.current();
+    CHECK_FALSE(choice.prefer([](const auto&) { return false; }));
+    STRCMP_EQUAL(before.c_str(), choice.current().c_str());
+    CHECK(choice.prefer([](const auto& endpoint) { return endpoint == "c"; }));
+    STRCMP_EQUAL("c", choice.current().c_str());
+    CHECK(choice.prefer([](const auto&) { return true; }));
+    STRCMP_EQUAL("c", choice.current().c_str());
+}
+
 TEST(ControllerChoice, FirstHintIsFollowedAtOnceAndNextOnesAfterAWait)
 {
     const std::string other = choice.current() == "a" ? "b" : "a";
--- a/src/fleet/tests/grpcfleetclient.cpp
+++ b/src/fleet/tests/grpcfleetclient.cpp
@@ -2,8 +2,10 @@
 
 #include "fleet/fleettable.h"
 #include "tests/latecontroller.h"
+#include "tests/silentlistener.h"
 
 #include <CppUTest/TestHarness.h>
+#include <array>
 
 using namespace clementinesill;
 
@@ -11,6 +13,8 @@
 
 // Bounds a wait that only a fault makes long.
 constexpr std::chrono::seconds patience { 60 };
+// Service is to be back within this time after a restart of everything.
+constexpr std::chrono::seconds recoveryBound { 2 };
 // Streams given up; each may meet a late message at the worst moment.
 constexpr int givenUpStreams = 25;
 
@@ -55,3 +59,25 @@
     client.stop();
     LONGS_EQUAL(1, client.tables().table()->version());
 }
+
+// Load pattern: all VMs start together, and some controllers are not back yet.
+TEST(GrpcFleetClient, ControllersThatSayNothingDelayNoFirstTable)
+{
+    // Several of them, each of which would cost the time of a watch that does not open.
+    const std::array<SilentListener, 6> silent;
+    const LateController controller;
+    schema::DaemonSettings settings;
+    settings.set_name("balancer");
+    settings.mutable_balancer();
+    for (const auto& listener : silent)
+        settings.add_controllers(listener.endpoint());
+    settings.add_controllers(controller.endpoint());
+    fleet::GrpcFleetClient client(settings);
+    const auto started = std::chrono::steady_clock::now();
+    client.start();
+    while (!client.tables().table()->version() && std::chrono::steady_clock::now() < started + patience)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    const auto took = std::chrono::steady_clock::now() - started;
+    client.stop();
+    CHECK(took < recoveryBound);
+}
