--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -5,9 +5,11 @@
 #include "dataplane/balancermodule.h"
 #include "fleet/fleetclient.h"
 #include "foundation/error.h"
+#include "foundation/hash.h"
 #include "foundation/log.h"
 #include "foundation/metrics.h"
 #include "foundation/systemclock.h"
+#include "foundation/version.h"
 #include "operators/settings.h"
 #include "operators/types/exitcode.h"
 #include "passthrough/passthroughmodules.h"
@@ -22,6 +24,7 @@
 #include <execinfo.h>
 #include <google/protobuf/util/message_differencer.h>
 #include <iostream>
+#include <span>
 #include <sstream>
 #include <unistd.h>
 
@@ -30,6 +33,8 @@
 
 namespace {
 
+// Lines of one event a second: some 200 bytes each, so that a flood stays within some KB a second and event.
+constexpr std::uint32_t defaultLinesPerSecond = 20;
 // Frames of the stack that a log line names when the process fails.
 constexpr int loggedFrames = 24;
 
@@ -66,7 +71,24 @@
 void startLog(const schema::DaemonSettings& settings)
 {
     const auto& options = settings.log();
-    configureLog({ .level = parseLogLevel(options.level()), .json = wantsJson(options), .file = options.file(), .standardOutput = options.standard_output(), .daemon = settings.name() });
+    configureLog({ .level = parseLogLevel(options.level()), .json = wantsJson(options), .file = options.file(), .standardOutput = options.standard_output(), .linesPerSecond = options.lines_per_second() ? options.lines_per_second() : defaultLinesPerSecond, .daemon = settings.name() });
+}
+
+// Tells settings apart in the log.
+std::string digest(const schema::DaemonSettings& settings)
+{
+    const auto bytes = settings.SerializeAsString();
+    std::ostringstream text;
+    text << std::hex << hash64(std::as_bytes(std::span(bytes)), 0);
+    return text.str();
+}
+
+void exportLogCounts(MetricsRegistry& metrics)
+{
+    metrics.describe("log_lines", "lines of the log since the start, by what became of them");
+    metrics.addGauge("log_lines", { { "outcome", "written" } }, [] { return static_cast<double>(logCounts().written); });
+    metrics.addGauge("log_lines", { { "outcome", "suppressed" } }, [] { return static_cast<double>(logCounts().suppressed); });
+    metrics.addGauge("log_lines", { { "outcome", "lost" } }, [] { return static_cast<double>(logCounts().lost); });
 }
 
 // The log level changes while the daemon runs; any other change waits for a restart, and the log says so.
@@ -77,7 +99,7 @@
         setLogLevel(parseLogLevel(changed.log().level()));
         changed.mutable_log()->clear_level();
         settings.mutable_log()->clear_level();
-        log(LogLevel::Info, "settings_reloaded");
+        log(LogLevel::Info, "settings_reloaded", { { .key = logkey::version, .value = std::string(programVersion) }, { .key = "settings", .value = digest(changed) } });
         if (!google::protobuf::util::MessageDifferencer::Equals(changed, settings))
             log(LogLevel::Warn, "settings_need_restart", { { logkey::reason, "more than log.level has changed" }, { logkey::remedy, "restart the daemon" } });
     } catch (const Error& error) {
@@ -141,6 +163,7 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     const SystemClock clock;
     MetricsRegistry metrics;
+    exportLogCounts(metrics);
     admin::AdminPages pages(settings, metrics, clock);
     const auto controllers = controllerSource(path, settings);
     std::unique_ptr<fleet::IFleetClient> client;
@@ -154,10 +177,10 @@
         adminServer = std::make_unique<admin::AdminServer>(settings.admin().endpoint(), pages);
     role->start();
     pages.setStarted(role->adminSource());
-    log(LogLevel::Info, "daemon_started");
+    log(LogLevel::Info, "daemon_started", { { .key = logkey::version, .value = std::string(programVersion) }, { .key = "settings", .value = digest(settings) } });
     waitForStop(signals, path, settings);
     pages.setDraining();
-    log(LogLevel::Info, "daemon_stopping");
+    log(LogLevel::Info, "daemon_stopping", { { .key = logkey::version, .value = std::string(programVersion) }, { .key = "settings", .value = digest(settings) } });
     role->stop();
     if (client)
         client->stop();
--- a/src/control/internal/controllermodule.cpp
+++ b/src/control/internal/controllermodule.cpp
@@ -78,13 +78,13 @@
 
 class ControllerModule final : public IRoleModule {
 public:
-    ControllerModule(const schema::DaemonSettings& settings, const ControllerModuleOptions& module)
+    ControllerModule(const schema::DaemonSettings& settings, MetricsRegistry& metrics, const ControllerModuleOptions& module)
         : m_daemon(settings)
         , m_settings(settings.controller())
         , m_makeOperatorListener(module.operatorListener)
         , m_credentials(net::daemonCredentials(settings))
         , m_work(boost::asio::make_work_guard(m_context))
-        , m_log(m_context, logOptions(settings, module), dataFolder(settings), m_state, m_credentials.channel(), m_clock, module.seeds)
+        , m_log(m_context, logOptions(settings, module), dataFolder(settings), m_state, m_credentials.channel(), m_clock, metrics, module.seeds)
         , m_controller(m_context, options(settings), m_state, m_log, m_clock)
         , m_fleetService(m_context, m_controller)
         , m_operatorService(m_context, m_controller)
@@ -158,9 +158,9 @@
 
 } // namespace
 
-std::unique_ptr<IRoleModule> makeControllerModule(const schema::DaemonSettings& settings, MetricsRegistry&, const ControllerModuleOptions& options)
+std::unique_ptr<IRoleModule> makeControllerModule(const schema::DaemonSettings& settings, MetricsRegistry& metrics, const ControllerModuleOptions& options)
 {
-    return std::make_unique<ControllerModule>(settings, options);
+    return std::make_unique<ControllerModule>(settings, metrics, options);
 }
 
 } // namespace clementinesill::control
--- a/src/control/internal/failstopstorage.cpp
+++ b/src/control/internal/failstopstorage.cpp
@@ -1,9 +1,12 @@
 #include "control/internal/failstopstorage.h"
 
 #include "foundation/error.h"
+#include "foundation/histogram.h"
 #include "foundation/log.h"
+#include "foundation/metrics.h"
 
 #include <cstdlib>
+#include <utility>
 
 namespace clementinesill::control {
 
@@ -11,32 +14,50 @@
 
 constexpr int exitStorageFailed = 1;
 
+// A sync takes a millisecond or a few; a disk that needs so long stalls.
+constexpr auto slowWrite = std::chrono::milliseconds(200);
+
+} // namespace
+
+FailStopStorage::FailStopStorage(ILogStorage& storage, const IClock& clock, MetricsRegistry& metrics)
+    : m_storage(storage)
+    , m_clock(clock)
+    , m_syncTimes(metrics.histogram("log_sync_seconds"))
+{
+}
+
 template <typename Write>
-void endOnFailure(Write write)
+void FailStopStorage::timed(Write write)
 {
+    const auto begun = m_clock.now();
     try {
         write();
     } catch (const Error& error) {
-        log(LogLevel::Error, "storage_failed", { { .key = "reason", .value = error.what() } });
+        log(LogLevel::Error, "storage_failed", { { .key = logkey::reason, .value = error.problem() }, { .key = logkey::remedy, .value = error.remedy() } });
         std::_Exit(exitStorageFailed);
     }
+    const auto took = m_clock.now() - begun;
+    m_syncTimes.record(std::chrono::duration<double>(took).count());
+    const bool slow = took > slowWrite;
+    if (std::exchange(m_slow, slow) == slow)
+        return;
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(took).count();
+    log(slow ? LogLevel::Warn : LogLevel::Info, slow ? "disk_slow" : "disk_recovered", { { .key = "took_ms", .value = std::to_string(milliseconds) } });
 }
 
-} // namespace
-
 void FailStopStorage::saveVote(const schema::VoteRecord& vote)
 {
-    endOnFailure([&] { m_storage.saveVote(vote); });
+    timed([&] { m_storage.saveVote(vote); });
 }
 
 void FailStopStorage::append(std::span<const schema::LogEntry> entries)
 {
-    endOnFailure([&] { m_storage.append(entries); });
+    timed([&] { m_storage.append(entries); });
 }
 
 void FailStopStorage::saveSnapshot(const schema::SnapshotRecord& snapshot, std::span<const schema::LogEntry> kept)
 {
-    endOnFailure([&] { m_storage.saveSnapshot(snapshot, kept); });
+    timed([&] { m_storage.saveSnapshot(snapshot, kept); });
 }
 
 } // namespace clementinesill::control
--- a/src/control/internal/failstopstorage.h
+++ b/src/control/internal/failstopstorage.h
@@ -1,16 +1,20 @@
 #pragma once
 
 #include "control/ilogstorage.h"
+#include "foundation/iclock.h"
+
+namespace clementinesill {
+class Histogram;
+class MetricsRegistry;
+} // namespace clementinesill
 
 namespace clementinesill::control {
 
 // Ends the process when something cannot be made durable: to go on might acknowledge what would be lost.
 class FailStopStorage final : public ILogStorage {
 public:
-    explicit FailStopStorage(ILogStorage& storage)
-        : m_storage(storage)
-    {
-    }
+    // The time that each write takes goes to the metrics.
+    FailStopStorage(ILogStorage& storage, const IClock& clock, MetricsRegistry& metrics);
 
     // Throws Error (Storage), since nothing is served yet.
     StoredLog open() override { return m_storage.open(); }
@@ -20,7 +24,13 @@
     void saveSnapshot(const schema::SnapshotRecord& snapshot, std::span<const schema::LogEntry> kept) override;
 
 private:
+    template <typename Write>
+    void timed(Write write);
+
     ILogStorage& m_storage;
+    const IClock& m_clock;
+    Histogram& m_syncTimes;
+    bool m_slow = false;
 };
 
 } // namespace clementinesill::control
--- a/src/control/internal/peerlink.cpp
+++ b/src/control/internal/peerlink.cpp
@@ -1,6 +1,9 @@
 #include "control/internal/peerlink.h"
 
 #include "control/internal/peercall.h"
+#include "foundation/log.h"
+
+#include <utility>
 
 namespace clementinesill::control {
 
@@ -39,9 +42,11 @@
         if (m_stopping)
             co_return;
         if (answer) {
+            noteReached(true);
             m_log.onAnswer(m_peer.name, *message, *answer);
             m_answered();
         } else {
+            noteReached(false);
             m_log.onFailure(m_peer.name, *message);
             // The connection may have gone silent for good.
             m_stub = peerStub(m_peer.endpoint, m_credentials);
@@ -51,6 +56,13 @@
     }
 }
 
+void PeerLink::noteReached(bool reached)
+{
+    if (std::exchange(m_reached, reached) == reached)
+        return;
+    log(reached ? LogLevel::Info : LogLevel::Warn, reached ? "controller_reached" : "controller_unreachable", { { .key = "controller", .value = m_peer.endpoint } });
+}
+
 void PeerLink::wake()
 {
     if (!m_occupied && m_log.messageDueAt(m_peer.name) <= m_clock.now())
--- a/src/control/internal/peerlink.h
+++ b/src/control/internal/peerlink.h
@@ -32,6 +32,7 @@
 private:
     using Answer = std::optional<PeerAnswer>;
 
+    void noteReached(bool reached);
     boost::asio::awaitable<Answer> send(const PeerMessage& message);
 
     boost::asio::io_context& m_context;
@@ -44,6 +45,7 @@
     Wakeup m_wakeup;
     // A call is in progress, or one has failed just now.
     bool m_occupied = false;
+    bool m_reached = false;
     bool m_stopping = false;
 };
 
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -1,5 +1,9 @@
 #include "control/internal/replicatedcommandlog.h"
 
+#include "foundation/histogram.h"
+#include "foundation/log.h"
+#include "foundation/metrics.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -26,7 +30,7 @@
 
 } // namespace
 
-ReplicatedCommandLog::ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock, std::function<std::vector<std::string>()> seeds)
+ReplicatedCommandLog::ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock, MetricsRegistry& metrics, std::function<std::vector<std::string>()> seeds)
     : m_context(context)
     , m_clock(clock)
     , m_options(options)
@@ -34,7 +38,8 @@
     , m_random(SeededRandom::fromEntropy())
     , m_files(dataFolder)
     , m_storage(m_files, m_random)
-    , m_failStop(m_storage)
+    , m_metrics(metrics)
+    , m_failStop(m_storage, clock, metrics)
     , m_machine(state, [this](std::uint64_t index, std::uint64_t term, const CommandResult& result) { onApplied(index, term, result); })
     , m_log(options, clock, m_random, m_failStop, m_machine)
     , m_credentials(credentials)
@@ -48,6 +53,7 @@
 void ReplicatedCommandLog::start(std::function<void()> changed)
 {
     m_changed = std::move(changed);
+    describeMetrics();
     co_spawn(
         m_context, [this] { return deadlineLoop(); }, detached);
     linkPeers();
@@ -110,7 +116,9 @@
     const auto waiter = std::make_shared<Waiter>(Waiter { .term = proposal.term, .result = unknownOutcome(), .wakeup = Wakeup(m_context) });
     m_waiters[proposal.index] = waiter;
     flushSoon();
+    const auto submitted = m_clock.now();
     co_await waiter->wakeup.wait(submitTimeout);
+    m_metrics.histogram("command_seconds", { { "outcome", schema::Outcome::Code_Name(waiter->result.code) } }).record(std::chrono::duration<double>(m_clock.now() - submitted).count());
     if (!waiter->done)
         m_waiters.erase(proposal.index);
     co_return waiter->result;
@@ -168,7 +176,8 @@
     publishChanges();
     for (const auto& [name, link] : m_links)
         link->wake();
-    if (m_log.dueAt() < m_wakesAt)
+    // The timer follows the deadline, so that it fires only when something is due.
+    if (m_wakesAt != MonotonicTime::min() && m_log.dueAt() != m_wakesAt)
         m_deadline.wake();
 }
 
@@ -179,12 +188,32 @@
     if (m_state.version() == m_seenVersion && leading == m_seenLeading && current == m_seenCurrent)
         return;
     m_seenVersion = m_state.version();
+    logOffice(leading, current);
     m_seenLeading = leading;
     m_seenCurrent = current;
     m_everCurrent = m_everCurrent || current;
     m_changed();
 }
 
+// Quorum and leader, lost and regained.
+void ReplicatedCommandLog::logOffice(bool leading, bool current)
+{
+    const auto term = std::to_string(m_log.term());
+    if (leading != m_seenLeading)
+        clementinesill::log(LogLevel::Info, leading ? "quorum_gained" : "quorum_lost", { { .key = "term", .value = term }, { .key = "commit_index", .value = std::to_string(m_log.commitIndex()) } });
+    if (leading && !m_seenLeading)
+        ++m_metrics.counter("elections_won_total");
+    if (current != m_seenCurrent)
+        clementinesill::log(current ? LogLevel::Info : LogLevel::Warn, current ? "leader_heard" : "leader_lost", { { .key = "term", .value = term }, { .key = "leader", .value = m_log.leaderEndpoint() }, { .key = logkey::version, .value = std::to_string(m_state.version()) } });
+}
+
+void ReplicatedCommandLog::describeMetrics()
+{
+    m_metrics.describe("log_sync_seconds", "time to make something durable");
+    m_metrics.describe("command_seconds", "time from a command to its outcome, by outcome");
+    m_metrics.describe("elections_won_total", "times that this controller began to lead with a quorum");
+}
+
 bool ReplicatedCommandLog::mayBeElecting() const
 {
     return !m_everCurrent && m_clock.now() < m_firstElectionEnd;
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -22,7 +22,7 @@
 class ReplicatedCommandLog final : public ICommandLog {
 public:
     // seeds gives the gRPC endpoints of controllers to join; none if the settings name the group. Throws Error (Storage).
-    ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock, std::function<std::vector<std::string>()> seeds = {});
+    ReplicatedCommandLog(boost::asio::io_context& context, const ReplicatedLogOptions& options, const std::string& dataFolder, FleetState& state, const std::shared_ptr<grpc::ChannelCredentials>& credentials, const IClock& clock, MetricsRegistry& metrics, std::function<std::vector<std::string>()> seeds = {});
 
     // Starts the coroutines of the log and of each peer. changed is called after the state or the leadership may have
     // changed.
@@ -63,6 +63,8 @@
     void linkPeers();
     void afterEvent();
     void publishChanges();
+    void logOffice(bool leading, bool current);
+    void describeMetrics();
     void releaseWaiters();
 
     boost::asio::io_context& m_context;
@@ -72,6 +74,7 @@
     SeededRandom m_random;
     PosixFileSystem m_files;
     LogStorage m_storage;
+    MetricsRegistry& m_metrics;
     FailStopStorage m_failStop;
     FleetMachine m_machine;
     std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
--- a/src/framework/foundation/internal/log.cpp
+++ b/src/framework/foundation/internal/log.cpp
@@ -2,16 +2,23 @@
 
 #include "foundation/error.h"
 #include "foundation/internal/logline.h"
+#include "foundation/internal/pipeappender.h"
+#include "foundation/logbudget.h"
+#include "foundation/systemclock.h"
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <fstream>
-#include <log4cplus/consoleappender.h>
+#include <limits>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <mutex>
+#include <unistd.h>
+#include <utility>
 
 namespace clementinesill {
 
@@ -23,6 +30,15 @@
     std::atomic<bool> configured { false };
     bool json = true;
     std::string daemon;
+    // Null unless lines go to standard output or standard error.
+    log4cplus::helpers::SharedObjectPtr<PipeAppender> pipe;
+    SystemClock clock;
+    std::atomic<std::uint64_t> written { 0 };
+    std::atomic<std::uint64_t> suppressed { 0 };
+    std::mutex mutex;
+    // Guarded by the mutex.
+    LogBudget budget { 0 };
+    std::uint64_t lostTold = 0;
 };
 
 LogState& state()
@@ -46,18 +62,58 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
+void write(LogLevel level, std::string_view event, std::span<const LogField> fields)
+{
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    const LogLine line {
+        .timeMs = std::chrono::duration_cast<std::chrono::milliseconds>(time).count(),
+        .level = level,
+        .daemon = state().daemon,
+        .event = event,
+        .fields = fields,
+    };
+    ++state().written;
+    log4cplus::Logger::getRoot().log(libraryLevel(level), state().json ? renderJson(line) : renderText(line));
+}
+
+// Tells what was left out since it was told last.
+void tellGaps(std::span<const LogBudget::Surplus> surplus)
+{
+    for (const auto& [event, lines] : surplus) {
+        const std::array<LogField, 2> fields { { { .key = "suppressed_event", .value = event }, { .key = "lines", .value = std::to_string(lines) } } };
+        write(LogLevel::Warn, "log_lines_suppressed", fields);
+    }
+    if (!state().pipe)
+        return;
+    const auto lost = state().pipe->lost();
+    {
+        const std::lock_guard lock(state().mutex);
+        if (lost == std::exchange(state().lostTold, lost))
+            return;
+    }
+    const std::array<LogField, 2> fields { { { .key = "lines_since_start", .value = std::to_string(lost) }, { .key = logkey::reason, .value = "the log's reader was too slow" } } };
+    write(LogLevel::Warn, "log_lines_lost", fields);
+}
+
 } // namespace
 
 void configureLog(const LogOptions& options)
 {
     state().json = options.json;
     state().daemon = options.daemon;
+    state().pipe = nullptr;
+    {
+        const std::lock_guard lock(state().mutex);
+        state().lostTold = 0;
+        state().budget = LogBudget(options.linesPerSecond ? options.linesPerSecond : std::numeric_limits<std::uint32_t>::max());
+    }
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
     root.setLogLevel(libraryLevel(options.level));
     log4cplus::SharedAppenderPtr appender;
     if (options.file.empty()) {
-        appender = log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(!options.standardOutput, true));
+        state().pipe = new PipeAppender(options.standardOutput ? STDOUT_FILENO : STDERR_FILENO);
+        appender = log4cplus::SharedAppenderPtr(state().pipe.get());
     } else {
         if (!std::ofstream(options.file, std::ios::app))
             throw Error(ErrorKind::Storage, "cannot write the log file '" + options.file + "'", "create its folder or change log.file");
@@ -75,22 +131,37 @@
     log4cplus::Logger::getRoot().setLogLevel(libraryLevel(level));
 }
 
+bool admitLine(LogLevel level, std::string_view event)
+{
+    if (!state().configured || !log4cplus::Logger::getRoot().isEnabledFor(libraryLevel(level)))
+        return false;
+    bool admitted = false;
+    std::vector<LogBudget::Surplus> surplus;
+    {
+        const std::lock_guard lock(state().mutex);
+        const auto now = state().clock.now();
+        surplus = state().budget.takeSurplus(now);
+        admitted = state().budget.admit(event, now);
+    }
+    tellGaps(surplus);
+    state().suppressed += !admitted;
+    return admitted;
+}
+
+void logAdmitted(LogLevel level, std::string_view event, std::span<const LogField> fields)
+{
+    write(level, event, fields);
+}
+
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (!state().configured)
-        return;
-    auto root = log4cplus::Logger::getRoot();
-    if (!root.isEnabledFor(libraryLevel(level)))
-        return;
-    const auto time = std::chrono::system_clock::now().time_since_epoch();
-    const LogLine line {
-        .timeMs = std::chrono::duration_cast<std::chrono::milliseconds>(time).count(),
-        .level = level,
-        .daemon = state().daemon,
-        .event = event,
-        .fields = { fields.begin(), fields.size() },
-    };
-    root.log(libraryLevel(level), state().json ? renderJson(line) : renderText(line));
+    if (admitLine(level, event))
+        write(level, event, { fields.begin(), fields.size() });
+}
+
+LogCounts logCounts()
+{
+    return { .written = state().written, .suppressed = state().suppressed, .lost = state().pipe ? state().pipe->lost() : 0 };
 }
 
 } // namespace clementinesill
--- /dev/null
+++ b/src/framework/foundation/internal/pipeappender.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <log4cplus/appender.h>
+
+namespace clementinesill {
+
+// Writes lines to a file descriptor and never waits for its reader: a line that does not fit at once is lost and counted.
+class PipeAppender final : public log4cplus::Appender {
+public:
+    explicit PipeAppender(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+
+    ~PipeAppender() override { destructorImpl(); }
+
+    void close() override { closed = true; }
+
+    // Lines lost since the start.
+    std::uint64_t lost() const { return m_lost; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override;
+
+private:
+    bool writable() const;
+
+    int m_descriptor;
+    std::atomic<std::uint64_t> m_lost { 0 };
+};
+
+} // namespace clementinesill
--- a/src/framework/foundation/tests/log.cpp
+++ b/src/framework/foundation/tests/log.cpp
@@ -4,10 +4,15 @@
 #include "foundation/internal/logline.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <array>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
+#include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace clementinesill;
@@ -83,3 +88,81 @@
     STRCMP_EQUAL("orders", json["service"].get<std::string>().c_str());
     std::filesystem::remove_all(folder);
 }
+
+namespace {
+
+// Takes the place of standard output while it lives; nobody reads it until contents() is called.
+class PipeAsOutput {
+public:
+    PipeAsOutput()
+        : m_output(dup(STDOUT_FILENO))
+    {
+        CHECK(pipe(m_ends.data()) == 0);
+        dup2(m_ends[1], STDOUT_FILENO);
+    }
+
+    ~PipeAsOutput()
+    {
+        restore();
+        close(m_ends[0]);
+        close(m_ends[1]);
+    }
+
+    void restore()
+    {
+        if (m_output < 0)
+            return;
+        dup2(m_output, STDOUT_FILENO);
+        close(std::exchange(m_output, -1));
+    }
+
+    std::string contents()
+    {
+        fcntl(m_ends[0], F_SETFL, O_NONBLOCK);
+        std::string all;
+        std::array<char, 4096> part {};
+        for (ssize_t length = 0; (length = read(m_ends[0], part.data(), part.size())) > 0;)
+            all.append(part.data(), static_cast<std::size_t>(length));
+        return all;
+    }
+
+private:
+    int m_output;
+    std::array<int, 2> m_ends {};
+};
+
+} // namespace
+
+TEST(Log, AReaderThatStandsStillStopsNobodyAndTheLossIsTold)
+{
+    PipeAsOutput output;
+    configureLog({ .standardOutput = true, .linesPerSecond = 0, .daemon = "b1" });
+    const std::string value(1000, 'x');
+    constexpr int lines = 500;
+    for (int line = 0; line < lines; ++line)
+        log(LogLevel::Info, "flooded", { { "value", value } });
+    const auto held = output.contents();
+    log(LogLevel::Info, "after");
+    const auto rest = output.contents();
+    output.restore();
+    configureLog({ .standardOutput = true });
+    CHECK(held.ends_with("\n"));
+    const auto whole = std::count(held.begin(), held.end(), '\n');
+    CHECK(whole > 0 && whole < lines);
+    CHECK(rest.find("log_lines_lost") != std::string::npos);
+    CHECK(rest.find(R"("event":"after")") != std::string::npos);
+}
+
+TEST(Log, LinesBeyondTheBudgetAreSummedUp)
+{
+    PipeAsOutput output;
+    configureLog({ .standardOutput = true, .linesPerSecond = 2 });
+    const auto before = logCounts();
+    for (int line = 0; line < 7; ++line)
+        log(LogLevel::Info, "flooded_again");
+    const auto after = logCounts();
+    output.restore();
+    configureLog({ .standardOutput = true });
+    LONGS_EQUAL(5, after.suppressed - before.suppressed);
+    LONGS_EQUAL(2, after.written - before.written);
+}
--- a/src/passthrough/internal/heldflows.cpp
+++ b/src/passthrough/internal/heldflows.cpp
@@ -110,6 +110,8 @@
     advance(flow.serverNext, packet.sequence + packet.payloadBytes);
     flow.serverFinished = flow.serverFinished || packet.fin;
     flow.reset = flow.reset || packet.rst;
+    if (packet.payloadBytes && flow.awaitsAnswer && m_options.answered)
+        m_options.answered(key, now - flow.requestedAt);
     if (packet.payloadBytes)
         finishRequest(flow, true);
     else if (flow.closed())
--- a/src/passthrough/internal/localserver.cpp
+++ b/src/passthrough/internal/localserver.cpp
@@ -26,10 +26,28 @@
         change = beat.draining ? BeatChange::DrainStarted : BeatChange::DrainEnded;
     m_beat = beat;
     m_left = false;
+    m_lastBeat = m_clock.now();
     noteAlive();
     return change;
 }
 
+void LocalServer::expect()
+{
+    if (m_beat || m_expected)
+        return;
+    m_expected = true;
+    m_lastBeat = m_clock.now();
+    noteAlive();
+}
+
+bool LocalServer::endedBeforeAgent() const
+{
+    const auto since = m_clock.now() - m_lastBeat;
+    if (m_beat)
+        return m_left || since > missedBeats * m_heartbeat;
+    return m_expected && since > missedFirstBeats * m_heartbeat;
+}
+
 bool LocalServer::leave(const std::string& name)
 {
     if (!m_beat || m_beat->name != name)
@@ -42,8 +60,10 @@
 {
     const auto now = m_clock.now();
     const auto pause = now - std::exchange(m_lastRunning, now);
-    if (pause > 2 * m_heartbeat)
-        m_lastHeard += std::min(pause, now - m_lastHeard);
+    if (pause <= 2 * m_heartbeat)
+        return;
+    m_lastHeard += std::min(pause, now - m_lastHeard);
+    m_lastBeat += std::min(pause, now - m_lastBeat);
 }
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -2,8 +2,12 @@
 #include "fleet/fleettable.h"
 #include "fleet/ifleetclient.h"
 #include "fleet/itablesource.h"
+#include "fleet/types/routeentry.h"
+#include "foundation/error.h"
+#include "foundation/histogram.h"
 #include "foundation/irolemodule.h"
 #include "foundation/log.h"
+#include "foundation/metrics.h"
 #include "foundation/systemclock.h"
 #include "net/ilistener.h"
 #include "passthrough/coldlimit.h"
@@ -23,7 +27,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
 #include <thread>
+#include <utility>
 
 namespace clementinesill::passthrough {
 
@@ -37,6 +46,8 @@
 constexpr std::chrono::milliseconds reviewInterval { 600 };
 // How often the table is looked at while the server is registered and not in it yet.
 constexpr std::chrono::milliseconds adoptInterval { 100 };
+// How long a gauge waits for the loop before it reads 0.
+constexpr std::chrono::milliseconds gaugeTimeout { 200 };
 // Heartbeats until a server that turned cold has said so.
 constexpr int coldNoticeBeats = 2;
 
@@ -48,14 +59,15 @@
         , m_endpoint(parseEndpoint(settings.agent().pass_through().packet_endpoint()))
         , m_settings(settings.agent().pass_through())
         , m_fleet(fleet)
+        , m_metrics(metrics)
         , m_makeReadyListener(makeReadyListener)
         , m_makeBeatListener(makeBeatListener)
         , m_heartbeat(std::chrono::milliseconds(m_settings.heartbeat_ms()))
         , m_server(m_clock, m_heartbeat)
         , m_cold(m_clock, { .factor = m_settings.cold_factor(), .extraFlows = m_settings.cold_extra_flows() })
-        , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()) })
+        , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .answered = [this](const auto& flow, auto took) { recordAnswer(flow, took); } })
         , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .cold = m_cold, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()) })
-        , m_path(m_loop, { .packets = parseEndpoint(m_settings.packet_endpoint()), .serverPackets = parseEndpoint(m_settings.server_packets_endpoint()), .server = parseEndpoint(settings.agent().server_endpoint()), .format = format, .router = m_router, .flows = m_flows, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .tableSeen = [this](const auto& table) { followTable(table); }, .wantConfirmation = [this] { m_link->renewSoon(); }, .clock = m_clock })
+        , m_path(m_loop, { .packets = parseEndpoint(m_settings.packet_endpoint()), .serverPackets = parseEndpoint(m_settings.server_packets_endpoint()), .server = parseEndpoint(settings.agent().server_endpoint()), .format = format, .router = m_router, .flows = m_flows, .load = m_load, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .tableSeen = [this](const auto& table) { followTable(table); }, .wantConfirmation = [this] { m_link->renewSoon(); }, .clock = m_clock })
     {
     }
 
@@ -68,6 +80,7 @@
         m_link = std::make_unique<ServerLink>(
             m_fleet, m_settings.packet_endpoint(), [this](const auto& registration) { asio::post(m_loop, [this, registration] { onRegistered(registration); }); }, [this] { asio::post(m_loop, [this] { m_path.confirmed(); }); });
         m_thread = std::thread([this] { m_loop.run(); });
+        describeMetrics();
         m_beatListener = m_makeBeatListener(m_settings.control_endpoint(), *this);
         m_readyListener = m_makeReadyListener(m_settings.ready_endpoint(), [this] { return m_fleet.tables().table()->documentVersion() != 0; });
     }
@@ -82,6 +95,7 @@
         m_loop.stop();
         m_thread.join();
         m_link->stop();
+        tellEnd();
     }
 
     void beat(const ServerBeat& beat) override
@@ -100,14 +114,67 @@
     }
 
 private:
+    // A VM that goes for good is told to stop after its server has ended. If the server could not say so itself, searches
+    // would go on to this agent until its lease ends.
+    void tellEnd()
+    {
+        const auto& registration = m_registration.serverId ? m_registration : m_adopted;
+        if (!registration.serverId || !m_server.endedBeforeAgent())
+            return;
+        log(LogLevel::Info, "server_ended_before_agent", { { .key = logkey::server, .value = std::to_string(registration.serverId) } });
+        try {
+            m_fleet.leave(registration, false);
+        } catch (const Error& error) {
+            log(LogLevel::Warn, "server_not_removed", { { .key = logkey::reason, .value = error.problem() }, { .key = logkey::remedy, .value = "its lease ends by itself" } });
+        }
+    }
+
+    // What the gauges read is written by the loop, so they are read there.
+    void describeMetrics()
+    {
+        m_metrics.describe("opening_wait_seconds", "how long callers had waited when their flow was taken, by their copies of the opening packet");
+        m_metrics.describe("relay_packets_total", "packets by what was decided about them");
+        m_metrics.describe("answer_seconds", "time from a request to the first byte of its answer, by route");
+        m_metrics.addGauge("table_version", {}, [this] { return static_cast<double>(m_fleet.tables().table()->version()); });
+        m_metrics.addGauge("configuration_version", {}, [this] { return static_cast<double>(m_fleet.tables().table()->documentVersion()); });
+        m_metrics.addGauge("table_age_seconds", {}, [this] { return std::chrono::duration<double>(m_clock.now() - m_fleet.tables().confirmedAt()).count(); });
+        m_metrics.addGauge("server_outstanding", {}, [this] { return onLoop([this] { return static_cast<double>(m_load.outstanding()); }); });
+        m_metrics.addGauge("server_expected_wait_seconds", {}, [this] { return onLoop([this] { return std::chrono::duration<double>(m_load.expectedWait()).count(); }); });
+        m_metrics.addGauge("held_flows", {}, [this] { return onLoop([this] { return static_cast<double>(m_flows.size()); }); });
+    }
+
+    double onLoop(const std::function<double()>& read)
+    {
+        const auto value = std::make_shared<std::promise<double>>();
+        auto ready = value->get_future();
+        asio::post(m_loop, [value, read] { value->set_value(read()); });
+        return ready.wait_for(gaugeTimeout) == std::future_status::ready ? ready.get() : 0;
+    }
+
+    // The time that one answer took, by its route.
+    void recordAnswer(const fleet::FlowKey& flow, Duration took)
+    {
+        auto& histogram = m_answers[flow.service];
+        if (!histogram) {
+            const auto table = m_fleet.tables().table();
+            const auto* route = table->route(flow.service);
+            histogram = &m_metrics.histogram("answer_seconds", { { "route", route ? route->name : format(flow.service) } });
+        }
+        histogram->record(std::chrono::duration<double>(took).count());
+    }
+
+    void countBeat(const char* outcome) { ++m_metrics.counter("heartbeats_total", { { "outcome", outcome } }); }
+
     void onBeat(const ServerBeat& beat)
     {
         if (beat.service != m_service) {
+            countBeat("refused");
             log(LogLevel::Warn, "heartbeat_refused", { { .key = logkey::server, .value = beat.name }, { .key = logkey::reason, .value = "it names service " + beat.service + ", this VM is set up for " + m_service } });
             return;
         }
         const bool first = !m_server.known();
         const auto change = m_server.accept(beat);
+        countBeat(change == BeatChange::Outdated ? "outdated" : "accepted");
         if (change == BeatChange::Outdated)
             return;
         if (change == BeatChange::NewStart)
@@ -151,6 +218,8 @@
                 m_load.setSlots(found->slots);
                 m_router.setServer(found->id, found->serviceId);
                 m_cold.assumeCold(coldNoticeBeats * m_heartbeat);
+                m_server.expect();
+                m_adopted = { .serverId = found->id, .incarnation = found->incarnation };
             }
             return;
         }
@@ -164,6 +233,7 @@
         asio::steady_timer timer(m_loop);
         while (true) {
             m_server.noteRunning();
+            noteSilence();
             followTable(*m_fleet.tables().table());
             m_flows.expire();
             timer.expires_after(m_registration.serverId && !m_fleet.tables().table()->server(m_registration.serverId) ? adoptInterval : reviewInterval);
@@ -171,6 +241,17 @@
         }
     }
 
+    void noteSilence()
+    {
+        const bool silent = m_server.silent();
+        if (std::exchange(m_silent, silent) == silent)
+            return;
+        if (silent)
+            log(LogLevel::Warn, "server_silent", { { .key = logkey::reason, .value = "neither heartbeats nor packets for three heartbeats" }, { .key = logkey::remedy, .value = "look at the server beside this agent" } });
+        else
+            log(LogLevel::Info, "server_heard");
+    }
+
     void followTable(const fleet::FleetTable& table)
     {
         if (table.version() == m_seenVersion)
@@ -191,6 +272,7 @@
     const Endpoint m_endpoint;
     const schema::PassThroughSettings m_settings;
     fleet::IFleetClient& m_fleet;
+    MetricsRegistry& m_metrics;
     ReadyListenerFactory m_makeReadyListener;
     BeatListenerFactory m_makeBeatListener;
     SystemClock m_clock;
@@ -204,8 +286,13 @@
     RelayRouter m_router;
     RelayPath m_path;
     fleet::Registration m_registration;
+    // What the table had at this endpoint when this agent had heard no server yet.
+    fleet::Registration m_adopted;
+    // By the route's address; of the loop.
+    std::map<Endpoint, Histogram*> m_answers;
     std::uint64_t m_seenVersion = 0;
     bool m_zoneOut = false;
+    bool m_silent = false;
     std::unique_ptr<ServerLink> m_link;
     std::unique_ptr<net::IListener> m_beatListener;
     std::unique_ptr<net::IListener> m_readyListener;
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -7,8 +7,10 @@
 #include "foundation/irolemodule.h"
 #include "foundation/log.h"
 #include "foundation/metrics.h"
+#include "foundation/systemclock.h"
 #include "net/ilistener.h"
 #include "passthrough/entryrouter.h"
+#include "passthrough/internal/decisionlines.h"
 #include "passthrough/internal/packetsocket.h"
 #include "passthrough/ipacketformat.h"
 #include "passthrough/passthroughmodules.h"
@@ -45,6 +47,10 @@
         , m_packets(m_loop, parseEndpoint(m_settings.packet_endpoint()))
         , m_peers(m_loop, m_peerEndpoint)
     {
+        metrics.describe("entry_packets_total", "callers' packets by what was decided about them");
+        metrics.addGauge("table_version", {}, [this] { return static_cast<double>(m_fleet.tables().table()->version()); });
+        metrics.addGauge("configuration_version", {}, [this] { return static_cast<double>(m_fleet.tables().table()->documentVersion()); });
+        metrics.addGauge("table_age_seconds", {}, [this] { return std::chrono::duration<double>(m_clock.now() - m_fleet.tables().confirmedAt()).count(); });
         for (std::size_t reason = 0; reason < m_decisions.size(); ++reason)
             m_decisions[reason] = &metrics.counter("entry_packets_total", { { "reason", std::string(name(static_cast<EntryReason>(reason))) } });
     }
@@ -82,6 +88,7 @@
         const auto table = m_fleet.tables().table();
         const auto decision = m_router.decide(*packet, *table);
         ++*m_decisions.at(static_cast<std::size_t>(decision.reason));
+        logDecision(decision, *packet, table->version());
         if (decision.action == EntryAction::Forward)
             forward(decision, *table, bytes);
         else if (decision.action == EntryAction::Reset)
@@ -116,6 +123,7 @@
 
     const schema::PassThroughSettings m_settings;
     fleet::IFleetClient& m_fleet;
+    SystemClock m_clock;
     const IPacketFormat& m_format;
     ReadyListenerFactory m_makeReadyListener;
     MetricsRegistry& m_metrics;
--- a/src/passthrough/internal/relaypath.cpp
+++ b/src/passthrough/internal/relaypath.cpp
@@ -4,11 +4,14 @@
 #include "dataplane/genevecodec.h"
 #include "fleet/fleettable.h"
 #include "fleet/itablesource.h"
+#include "foundation/histogram.h"
 #include "foundation/log.h"
 #include "passthrough/heldflows.h"
+#include "passthrough/internal/decisionlines.h"
 #include "passthrough/ipacketformat.h"
 #include "passthrough/localserver.h"
 #include "passthrough/relayrouter.h"
+#include "passthrough/serverload.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,6 +36,7 @@
     , m_serverPackets(loop, options.serverPackets)
     , m_pending(pendingCapacity)
     , m_ended(options.clock, endedCapacity)
+    , m_openingWait(options.metrics.histogram("opening_wait_seconds"))
 {
     for (std::size_t reason = 0; reason < m_decisions.size(); ++reason)
         m_decisions[reason] = &options.metrics.counter("relay_packets_total", { { "reason", std::string(name(static_cast<RelayReason>(reason))) } });
@@ -110,7 +114,7 @@
 
 void RelayPath::carryOut(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::span<std::byte> bytes)
 {
-    ++*m_decisions.at(static_cast<std::size_t>(decision.reason));
+    note(decision, search, packet);
     switch (decision.action) {
     case RelayAction::Deliver:
     case RelayAction::Open:
@@ -136,6 +140,36 @@
     }
 }
 
+// Leaves what was decided in the log and the metrics.
+void RelayPath::note(const RelayDecision& decision, const Search& search, const FlowPacket& packet)
+{
+    ++*m_decisions.at(static_cast<std::size_t>(decision.reason));
+    if (decision.action == RelayAction::Deliver && decision.reason == RelayReason::Held && !(search.route.flags & dataplane::Route::passedOn))
+        return;
+    logDecision(decision, search, packet, inputs(packet));
+    if (!packet.opensFlow() || decision.reason == RelayReason::RepeatedOpening)
+        return;
+    if (decision.action == RelayAction::Open)
+        m_openingWait.record(std::chrono::duration<double>(packet.waited()).count());
+    if (const auto state = m_admission.note(decision.obstacle))
+        log(LogLevel::Info, *state == RelayReason::Admitted ? "admission_opened" : "admission_closed", { { .key = logkey::reason, .value = std::string(name(*state)) }, { .key = "outstanding", .value = std::to_string(m_options.load.outstanding()) }, { .key = "table", .value = std::to_string(m_seenVersion) } });
+}
+
+RelayInputs RelayPath::inputs(const FlowPacket& packet) const
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto confirmed = m_options.tables.leaderConfirmedAt();
+    const auto* held = m_options.flows.find(packet.key);
+    return {
+        .tableVersion = m_seenVersion,
+        .tableAge = confirmed == MonotonicTime() ? std::nullopt : std::optional(duration_cast<milliseconds>(m_options.clock.now() - confirmed)),
+        .outstanding = m_options.load.outstanding(),
+        .expectedWait = duration_cast<milliseconds>(m_options.load.expectedWait()),
+        .openingSequence = held && held->callerSequence ? std::optional(held->callerSequence) : std::nullopt,
+    };
+}
+
 agent::TableView RelayPath::view(const fleet::FleetTable& table) const
 {
     return { .table = table, .confirmedAt = m_options.tables.leaderConfirmedAt() };
--- a/src/passthrough/internal/relaypath.h
+++ b/src/passthrough/internal/relaypath.h
@@ -1,14 +1,20 @@
 #pragma once
 
 #include "foundation/metrics.h"
+#include "passthrough/admissionwatch.h"
 #include "passthrough/endedsearches.h"
 #include "passthrough/internal/packetsocket.h"
 #include "passthrough/internal/relaypathoptions.h"
 #include "passthrough/pendingsearches.h"
 #include "passthrough/types/relaydecision.h"
+#include "passthrough/types/relayinputs.h"
 
 #include <array>
 
+namespace clementinesill {
+class Histogram;
+}
+
 namespace clementinesill::agent {
 struct TableView;
 }
@@ -39,6 +45,8 @@
     agent::TableView view(const fleet::FleetTable& table) const;
     void passOn(const RelayDecision& decision, Search search, std::span<const std::byte> bytes);
     void tellBalancer(const Search& search, const fleet::FlowKey& key);
+    void note(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
+    RelayInputs inputs(const FlowPacket& packet) const;
     void toCaller(const fleet::FlowKey& flow, std::span<const std::byte> bytes);
 
     boost::asio::io_context& m_loop;
@@ -50,8 +58,10 @@
     std::uint32_t m_serverId = 0;
     std::uint32_t m_incarnation = 0;
     std::uint64_t m_seenVersion = 0;
+    AdmissionWatch m_admission;
     // By RelayReason.
     std::array<Counter*, relayReasons> m_decisions {};
+    Histogram& m_openingWait;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/relaypathoptions.h
+++ b/src/passthrough/internal/relaypathoptions.h
@@ -20,6 +20,7 @@
 class IPacketFormat;
 class LocalServer;
 class RelayRouter;
+class ServerLoad;
 
 // What the relay path works with. The references must outlive it.
 struct RelayPathOptions {
@@ -31,6 +32,7 @@
     const IPacketFormat& format;
     RelayRouter& router;
     HeldFlows& flows;
+    const ServerLoad& load;
     LocalServer& localServer;
     fleet::ITableSource& tables;
     MetricsRegistry& metrics;
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -33,6 +33,12 @@
     return { .action = RelayAction::PassOn, .reason = reason, .nextAgent = server.agent, .nextServerId = server.id, .nextIncarnation = server.incarnation, .nextServiceId = server.serviceId };
 }
 
+RelayDecision withObstacle(RelayDecision decision, RelayReason obstacle)
+{
+    decision.obstacle = obstacle;
+    return decision;
+}
+
 bool senderIsNewer(const Search& search, const agent::TableView& view)
 {
     return search.route.tableVersion > view.table.version();
@@ -133,14 +139,14 @@
     if (service && search.visited.size() < dataplane::maximumVisited) {
         for (const auto* server : rankFromZone(fleet::hash(packet.key, view.table.hashSeed()), service->servers, m_options.zone)) {
             if (server->id != m_serverId && server->accepting() && !search.asked(server->id))
-                return passTo(*server, reason);
+                return withObstacle(passTo(*server, reason), reason);
         }
     }
     if (senderIsNewer(search, view))
-        return drop(RelayReason::TableTooOld);
+        return withObstacle(drop(RelayReason::TableTooOld), reason);
     // A slot may be free when the caller's next copy comes; after the last one it is told at once.
     const bool full = reason == RelayReason::Busy || reason == RelayReason::Cold;
-    return full && !packet.lastCopy() ? drop(RelayReason::NoSlotYet) : reset(RelayReason::TakenByNobody);
+    return withObstacle(full && !packet.lastCopy() ? drop(RelayReason::NoSlotYet) : reset(RelayReason::TakenByNobody), reason);
 }
 
 RelayDecision RelayRouter::follow(const Search& search, const FlowPacket& packet, const agent::TableView& view)
@@ -152,7 +158,7 @@
         return { .action = RelayAction::Deliver, .reason = RelayReason::Held };
     }
     const bool young = m_options.clock.now() - m_start < m_options.flowLifetime;
-    if (!held && young)
+    if (!held && young && !m_options.server.silent())
         return { .action = RelayAction::Ask, .reason = RelayReason::AgentYoung };
     return passOn(search, packet, view, RelayReason::NotHeld);
 }
@@ -174,9 +180,16 @@
     const auto flowHash = fleet::hash(packet.key, view.table.hashSeed());
     if (search.visited.size() >= dataplane::maximumVisited)
         return nextInRank(search, flowHash, view);
+    const auto* live = nextHolder(search, flowHash, view, false);
+    return live ? live : nextHolder(search, flowHash, view, true);
+}
+
+// A silent server's agent is most likely gone and would end the search, so it is asked last.
+const fleet::ServerEntry* RelayRouter::nextHolder(const Search& search, std::uint64_t flowHash, const agent::TableView& view, bool silent) const
+{
     const auto nextOf = [&](const fleet::ServiceEntry& service) -> const fleet::ServerEntry* {
         for (const auto* server : rankFromZone(flowHash, service.servers, m_options.zone)) {
-            if (server->id != m_serverId && !search.asked(server->id))
+            if (server->id != m_serverId && server->silent == silent && !search.asked(server->id))
                 return server;
         }
         return nullptr;
--- a/src/passthrough/localserver.h
+++ b/src/passthrough/localserver.h
@@ -30,6 +30,9 @@
 
     BeatChange accept(const ServerBeat& beat);
 
+    // The controllers know a server here that this agent has not heard since its own start.
+    void expect();
+
     // The server said that it ends; false if it is not the one that is known.
     bool leave(const std::string& name);
 
@@ -41,7 +44,10 @@
     void noteRunning();
 
     // Neither heartbeats nor packets come: the server is dead or stuck.
-    bool silent() const { return m_beat && m_clock.now() - m_lastHeard > silenceBeats * m_heartbeat; }
+    bool silent() const { return (m_beat || m_expected) && m_clock.now() - m_lastHeard > silenceBeats * m_heartbeat; }
+
+    // Whether the server, as far as one can tell when the agent is told to stop, has ended before it.
+    bool endedBeforeAgent() const;
 
     bool known() const { return m_beat.has_value(); }
     bool draining() const { return m_beat && m_beat->draining; }
@@ -51,6 +57,10 @@
     // Heartbeats in a row that a live server may miss.
     static constexpr int silenceBeats = 3;
 
+    // As long as this without a heartbeat, a server that the agent has heard, or never heard, has ended.
+    static constexpr double missedBeats = 2.5;
+    static constexpr double missedFirstBeats = 1.5;
+
     bool olderStart(const ServerBeat& beat) const;
     bool sameStart(const ServerBeat& beat) const;
 
@@ -58,8 +68,11 @@
     Duration m_heartbeat;
     std::optional<ServerBeat> m_beat;
     MonotonicTime m_lastHeard;
+    // Heartbeats only: the last one, or since when one is expected.
+    MonotonicTime m_lastBeat;
     MonotonicTime m_lastRunning;
     bool m_left = false;
+    bool m_expected = false;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/relayrouter.h
+++ b/src/passthrough/relayrouter.h
@@ -53,6 +53,7 @@
     std::uint32_t serviceFor(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
     bool worthWaiting(const FlowPacket& packet, const fleet::RouteEntry* route) const;
     const fleet::ServerEntry* nextInRank(const Search& search, std::uint64_t flowHash, const agent::TableView& view) const;
+    const fleet::ServerEntry* nextHolder(const Search& search, std::uint64_t flowHash, const agent::TableView& view, bool silent) const;
     const fleet::ServerEntry* nextHolder(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
 
     RelayRouterOptions m_options;
--- a/src/passthrough/tests/localserver.cpp
+++ b/src/passthrough/tests/localserver.cpp
@@ -89,3 +89,34 @@
     }
     CHECK(server.silent());
 }
+
+// Load pattern: all VMs restart while servers are replaced, and some servers never come back.
+TEST(LocalServer, AServerThatIsExpectedAndNotHeardIsSilent)
+{
+    CHECK_FALSE(server.silent());
+    server.expect();
+    CHECK_FALSE(server.silent());
+    clock.advance(2 * heartbeat);
+    CHECK(server.endedBeforeAgent());
+    clock.advance(2 * heartbeat);
+    CHECK(server.silent());
+    server.accept(beatOf("i-1", 100, 1));
+    CHECK_FALSE(server.silent());
+    CHECK_FALSE(server.endedBeforeAgent());
+}
+
+TEST(LocalServer, AnAgentThatStopsBesideALiveServerSaysNothingOfItsEnd)
+{
+    CHECK_FALSE(server.endedBeforeAgent());
+    server.accept(beatOf("i-1", 100, 1));
+    clock.advance(2 * heartbeat);
+    CHECK_FALSE(server.endedBeforeAgent());
+    // A server that hands packets back and sends no heartbeats is about to end.
+    clock.advance(heartbeat);
+    server.noteAlive();
+    CHECK(server.endedBeforeAgent());
+    server.accept(beatOf("i-1", 100, 2));
+    CHECK_FALSE(server.endedBeforeAgent());
+    server.leave("i-1");
+    CHECK(server.endedBeforeAgent());
+}
--- a/src/passthrough/tests/relayrouter.cpp
+++ b/src/passthrough/tests/relayrouter.cpp
@@ -229,3 +229,32 @@
     agent.router.setLeaving(true);
     CHECK_DECISION(RelayAction::PassOn, RelayReason::Draining, agent.decide(opening()));
 }
+
+TEST(RelayRouter, ARestartedAgentWhoseServerIsSilentAsksNobodyAndPassesOn)
+{
+    ManualClock clock;
+    LocalServer unheard(clock, testHeartbeat);
+    RelayRouter young({ .zone = "mandaue", .flows = agent.flows, .server = unheard, .load = agent.load, .cold = agent.cold, .misses = agent.misses, .clock = clock });
+    young.setServer(1, deskService);
+    unheard.expect();
+    CHECK_DECISION(RelayAction::Ask, RelayReason::AgentYoung, young.decide(agent.search(), fromCaller(5000), agent.view()));
+    clock.advance(4 * testHeartbeat);
+    CHECK_DECISION(RelayAction::PassOn, RelayReason::NotHeld, young.decide(agent.search(), fromCaller(5000), agent.view()));
+    CHECK_DECISION(RelayAction::PassOn, RelayReason::ServerSilent, young.decide(agent.search(), opening(2), agent.view()));
+}
+
+// Load pattern: VMs are gone for good, and callers' flows are looked for at all that are in the table.
+TEST(RelayRouter, ASearchAsksSilentServersLast)
+{
+    agent.tables.server(2).set_state(schema::SERVER_STATE_SILENT);
+    agent.table = agent.tables.build();
+    auto search = agent.search();
+    std::vector<std::uint32_t> asked;
+    for (int hop = 0; hop < 3; ++hop) {
+        const auto decision = agent.router.decide(search, fromCaller(5000), agent.view());
+        CHECK(decision.action == RelayAction::PassOn);
+        asked.push_back(decision.nextServerId);
+        search.visited.push_back(decision.nextServerId);
+    }
+    LONGS_EQUAL(2, asked.back());
+}
--- a/src/passthrough/types/flowpacket.h
+++ b/src/passthrough/types/flowpacket.h
@@ -2,6 +2,9 @@
 
 #include "fleet/types/flowkey.h"
 
+#include <algorithm>
+#include <array>
+#include <chrono>
 #include <cstdint>
 
 namespace clementinesill::passthrough {
@@ -10,6 +13,8 @@
 struct FlowPacket {
     // Copies of an opening packet that a caller sends while it gets no answer; docs/platform.md.
     static constexpr std::uint32_t copiesSent = 2;
+    // When the first packet and its copies are sent.
+    static constexpr std::array<std::chrono::milliseconds, copiesSent + 1> copyTimes { std::chrono::milliseconds(0), std::chrono::milliseconds(200), std::chrono::milliseconds(600) };
 
     // Source as caller, destination as service; reversed for a server's own packets.
     fleet::FlowKey key;
@@ -30,6 +35,9 @@
     // For a packet that opens a flow: how many copies of it were sent before.
     std::uint32_t earlierCopies() const { return acknowledgement; }
 
+    // For a packet that opens a flow: how long the caller has waited since the first one.
+    std::chrono::milliseconds waited() const { return copyTimes[std::min<std::size_t>(earlierCopies(), copiesSent)]; }
+
     // For a packet that opens a flow: whether the caller sends no more copies of it.
     bool lastCopy() const { return earlierCopies() >= copiesSent; }
 
--- a/src/passthrough/types/heldflowsoptions.h
+++ b/src/passthrough/types/heldflowsoptions.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "fleet/types/flowkey.h"
 #include "foundation/iclock.h"
 
 #include <chrono>
+#include <functional>
 
 namespace clementinesill::passthrough {
 
@@ -13,6 +15,8 @@
     Duration openingTimeout = std::chrono::milliseconds(2500);
     // A closed flow is kept for its last packets.
     Duration closedTimeout = std::chrono::seconds(8);
+    // Called for each answer that has begun with the time since its request, if set.
+    std::function<void(const fleet::FlowKey&, Duration)> answered;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/types/relaydecision.h
+++ b/src/passthrough/types/relaydecision.h
@@ -63,6 +63,8 @@
 struct RelayDecision {
     RelayAction action = RelayAction::Drop;
     RelayReason reason = RelayReason::WrongService;
+    // For an opening packet that is not taken here: why not; Admitted otherwise.
+    RelayReason obstacle = RelayReason::Admitted;
     // For PassOn.
     Endpoint nextAgent;
     std::uint32_t nextServerId = 0;
