--- a/src/fleet/ifleetclient.h
+++ b/src/fleet/ifleetclient.h
@@ -35,6 +35,9 @@
 
     // Marks the server as draining, or removes it.
     virtual void leave(const Registration& registration, bool draining) = 0;
+
+    // Ends the calls that are in progress on other threads with Error (Unavailable), within a second.
+    virtual void interruptCalls() = 0;
 };
 
 } // namespace clementinesill::fleet
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -23,6 +23,8 @@
 constexpr auto dialTimeout = std::chrono::milliseconds(300);
 constexpr auto dialInterval = std::chrono::milliseconds(20);
 constexpr auto registerTimeout = std::chrono::seconds(20);
+// How often a service that the operators have not sent yet is asked for.
+constexpr auto serviceInterval = std::chrono::milliseconds(500);
 constexpr auto renewTimeout = std::chrono::seconds(3);
 constexpr auto leaveTimeout = std::chrono::seconds(5);
 // How long a new stream may take to its first update.
@@ -356,7 +358,7 @@
 void GrpcFleetClient::awaitFirstTable(MonotonicTime deadline)
 {
     std::unique_lock lock(m_mutex);
-    m_stopped.wait_for(lock, deadline - m_clock.now(), [this] { return m_stopping || m_tableTaken; });
+    m_stopped.wait_for(lock, deadline - m_clock.now(), [this, seen = m_interruptions.load()] { return interrupted(seen) || m_tableTaken; });
 }
 
 // Called with m_mutex held.
@@ -380,8 +382,9 @@
 Response GrpcFleetClient::call(grpc::Status (Stub::*method)(grpc::ClientContext*, const Request&, Response*), const Request& request, Duration timeout)
 {
     const auto deadline = m_clock.now() + timeout;
+    const auto seen = m_interruptions.load();
     std::string problem = "no controller was asked";
-    while (!m_stopping && m_clock.now() < deadline) {
+    while (!interrupted(seen) && m_clock.now() < deadline) {
         std::string endpoint;
         std::shared_ptr<Stub> target;
         {
@@ -403,7 +406,7 @@
         if (!status.ok())
             m_connections.erase(endpoint);
         const auto wait = status.ok() ? m_callChoice.follow(outcome.leader_hint()) : m_callChoice.failed();
-        m_stopped.wait_for(lock, wait, [this] { return m_stopping.load(); });
+        m_stopped.wait_for(lock, wait, [this, seen] { return interrupted(seen); });
     }
     throw Error(ErrorKind::Unavailable, "no controller accepted the call in time (" + problem + ")", "check that a majority of the controllers runs and can be reached");
 }
@@ -411,16 +414,19 @@
 Registration GrpcFleetClient::registerServer(const schema::ServerAnnouncement& announcement)
 {
     const auto deadline = m_clock.now() + registerTimeout;
+    const auto seen = m_interruptions.load();
     schema::RegisterResponse response;
     // Only the leader registers servers, and it is known by the first table.
     awaitFirstTable(deadline);
     do {
+        if (interrupted(seen))
+            throw Error(ErrorKind::Unavailable, "the server was not registered before the daemon's stop", "it is registered at the daemon's next start");
         response = call(&Stub::Register, announcement, deadline - m_clock.now());
         if (response.outcome().code() != schema::Outcome::CODE_NOT_FOUND)
             break;
         // The service may still be on its way from the operators.
-        pause(std::chrono::milliseconds(500));
-    } while (!m_stopping && m_clock.now() < deadline);
+        pause(serviceInterval);
+    } while (m_clock.now() < deadline);
     if (response.outcome().code() == schema::Outcome::CODE_NOT_FOUND)
         throw Error(ErrorKind::Unavailable, response.outcome().message(), "the agent asks again");
     if (response.outcome().code() != schema::Outcome::CODE_OK)
@@ -446,4 +452,13 @@
     call(&Stub::Leave, request, leaveTimeout);
 }
 
+void GrpcFleetClient::interruptCalls()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_interruptions;
+    }
+    m_stopped.notify_all();
+}
+
 } // namespace clementinesill::fleet
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -35,6 +35,7 @@
     Registration registerServer(const schema::ServerAnnouncement& announcement) override;
     bool renew(const schema::RenewRequest& request) override;
     void leave(const Registration& registration, bool draining) override;
+    void interruptCalls() override;
 
 private:
     using Stub = schema::Fleet::Stub;
@@ -61,6 +62,7 @@
     void preferReached(ControllerChoice& choice);
     void noteFirstTable(const std::string& endpoint);
     void awaitFirstTable(MonotonicTime deadline);
+    bool interrupted(int seen) const { return m_stopping || m_interruptions != seen; }
     void learnControllers(const schema::TableUpdate& update);
     void learnHint(ControllerChoice& choice, const std::string& hint);
     void dropConnection(const std::string& endpoint);
@@ -79,6 +81,8 @@
     // Held by the watch thread only.
     schema::Table m_table;
     std::atomic<bool> m_stopping { false };
+    // Grows with each interruptCalls().
+    std::atomic<int> m_interruptions { 0 };
     std::thread m_watchThread;
     std::mutex m_mutex;
     std::condition_variable m_stopped;
--- a/src/fleet/tests/grpcfleetclient.cpp
+++ b/src/fleet/tests/grpcfleetclient.cpp
@@ -1,11 +1,14 @@
 #include "fleet/internal/grpcfleetclient.h"
 
 #include "fleet/fleettable.h"
+#include "foundation/error.h"
 #include "tests/latecontroller.h"
 #include "tests/silentlistener.h"
 
 #include <CppUTest/TestHarness.h>
 #include <array>
+#include <atomic>
+#include <thread>
 
 using namespace clementinesill;
 
@@ -15,6 +18,8 @@
 constexpr std::chrono::seconds patience { 60 };
 // Service is to be back within this time after a restart of everything.
 constexpr std::chrono::seconds recoveryBound { 2 };
+// A daemon that is told to stop has six seconds for all of it.
+constexpr std::chrono::seconds stopBound { 3 };
 // Streams given up; each may meet a late message at the worst moment.
 constexpr int givenUpStreams = 25;
 
@@ -81,3 +86,28 @@
     client.stop();
     CHECK(took < recoveryBound);
 }
+
+TEST(GrpcFleetClient, AStopInterruptsARegistrationThatNobodyAccepts)
+{
+    schema::DaemonSettings settings;
+    settings.set_name("agent");
+    settings.mutable_agent();
+    settings.add_controllers("127.0.0.1:1");
+    fleet::GrpcFleetClient client(settings);
+    client.start();
+    std::atomic<bool> ended { false };
+    std::thread registering([&] {
+        try {
+            client.registerServer({});
+        } catch (const Error& error) {
+            ended = error.kind() == ErrorKind::Unavailable;
+        }
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const auto begun = std::chrono::steady_clock::now();
+    client.interruptCalls();
+    registering.join();
+    client.stop();
+    CHECK(ended);
+    CHECK(std::chrono::steady_clock::now() - begun < stopBound);
+}
--- a/src/framework/foundation/tests/log.cpp
+++ b/src/framework/foundation/tests/log.cpp
@@ -2,17 +2,14 @@
 
 #include "foundation/error.h"
 #include "foundation/internal/logline.h"
+#include "testing/pipeasoutput.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
-#include <array>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
-#include <unistd.h>
-#include <utility>
 #include <vector>
 
 using namespace clementinesill;
@@ -89,50 +86,6 @@
     std::filesystem::remove_all(folder);
 }
 
-namespace {
-
-// Takes the place of standard output while it lives; nobody reads it until contents() is called.
-class PipeAsOutput {
-public:
-    PipeAsOutput()
-        : m_output(dup(STDOUT_FILENO))
-    {
-        CHECK(pipe(m_ends.data()) == 0);
-        dup2(m_ends[1], STDOUT_FILENO);
-    }
-
-    ~PipeAsOutput()
-    {
-        restore();
-        close(m_ends[0]);
-        close(m_ends[1]);
-    }
-
-    void restore()
-    {
-        if (m_output < 0)
-            return;
-        dup2(m_output, STDOUT_FILENO);
-        close(std::exchange(m_output, -1));
-    }
-
-    std::string contents()
-    {
-        fcntl(m_ends[0], F_SETFL, O_NONBLOCK);
-        std::string all;
-        std::array<char, 4096> part {};
-        for (ssize_t length = 0; (length = read(m_ends[0], part.data(), part.size())) > 0;)
-            all.append(part.data(), static_cast<std::size_t>(length));
-        return all;
-    }
-
-private:
-    int m_output;
-    std::array<int, 2> m_ends {};
-};
-
-} // namespace
-
 TEST(Log, AReaderThatStandsStillStopsNobodyAndTheLossIsTold)
 {
     PipeAsOutput output;
--- a/src/passthrough/internal/serverlink.cpp
+++ b/src/passthrough/internal/serverlink.cpp
@@ -12,6 +12,8 @@
 
 // A lease lasts 3 s; two renewals may be lost.
 constexpr std::chrono::milliseconds renewInterval { 1000 };
+// How often a stop interrupts what the link's thread may have begun since.
+constexpr std::chrono::milliseconds interruptInterval { 50 };
 // Keeps an agent that waits for the leader's word below 20 renewals a second.
 constexpr std::chrono::milliseconds renewSoonDelay { 50 };
 
@@ -73,11 +75,27 @@
         m_stopping = true;
     }
     m_wake.notify_all();
+    {
+        // A call may begin just as the calls before it are interrupted.
+        std::unique_lock lock(m_mutex);
+        while (!m_ended) {
+            m_client.interruptCalls();
+            m_wake.wait_for(lock, interruptInterval, [this] { return m_ended; });
+        }
+    }
     if (m_thread.joinable())
         m_thread.join();
 }
 
 void ServerLink::run()
+{
+    follow();
+    const std::lock_guard lock(m_mutex);
+    m_ended = true;
+    m_wake.notify_all();
+}
+
+void ServerLink::follow()
 {
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
--- a/src/passthrough/internal/serverlink.h
+++ b/src/passthrough/internal/serverlink.h
@@ -42,6 +42,7 @@
     };
 
     void run();
+    void follow();
     void reconcile(const Wanted& wanted);
     void registerStart(const ServerBeat& beat);
     schema::ServerAnnouncement announcement(const ServerBeat& beat) const;
@@ -57,6 +58,7 @@
     bool m_changed = false;
     bool m_renewSoon = false;
     bool m_stopping = false;
+    bool m_ended = false;
     // Of the link's thread.
     fleet::Registration m_registration;
     std::uint64_t m_bootId = 0;
--- a/src/standins/servermain.cpp
+++ b/src/standins/servermain.cpp
@@ -71,6 +71,9 @@
     if (state.running >= state.slots)
         co_return co_await reply(socket, request, "busy\n", http::status::service_unavailable);
     ++state.running;
+    // For whoever counts how often each order ran.
+    if (request.method() == http::verb::post)
+        std::cout << "ran " << request.body() << std::endl;
     co_await sleepFor(state.workTime);
     --state.running;
     if (request.method() == http::verb::post)
