Let the soak's proxies carry answers and close their sockets

Change: a UDP link carries what others than its client send back to the client; close() ends connections and listeners.

--- a/scripts/faultproxy.py
+++ b/scripts/faultproxy.py
@@ -3,7 +3,6 @@
 import threading
 
 CHUNK = 65536
-DATAGRAM_CLIENTS = 256
 
 # What a link does with the bytes that pass: each way is forwarded, held back for ever, or late.
 OPEN = "open"
@@ -43,6 +42,7 @@
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
+        self.sockets = []
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
 
@@ -51,20 +51,32 @@
 
     def tcp(self, listen, target):
         link = Link(listen, target)
-        self._call(asyncio.start_server(lambda reader, writer: self._connection(link, reader, writer), *listen))
+        self.sockets.append(self._call(asyncio.start_server(lambda reader, writer: self._connection(link, reader, writer), *listen)))
         return link
 
-    def udp(self, listen, target):
+    def udp(self, listen, target, client):
+        """Datagrams of the client go to the target; whatever others send here goes to the client."""
         link = Link(listen, target)
-        self._call(self.loop.create_datagram_endpoint(lambda: _Datagrams(self.loop, link), local_addr=listen))
+        transport, _ = self._call(self.loop.create_datagram_endpoint(lambda: _Datagrams(self.loop, link, client), local_addr=listen))
+        self.sockets.append(transport)
         return link
 
     def reset(self, link):
         self.loop.call_soon_threadsafe(link.reset)
 
     def close(self):
+        self._call(self._shutdown())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
+        self.loop.close()
+
+    async def _shutdown(self):
+        for listening in self.sockets:
+            listening.close()
+        tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _connection(self, link, reader, writer):
         try:
@@ -95,18 +107,20 @@
 
 
 class _Datagrams(asyncio.DatagramProtocol):
-    """Forwards datagrams one way; what answers them goes to its receiver directly, as in the product."""
+    """Forwards datagrams both ways; answers come from any agent."""
 
-    def __init__(self, loop, link):
+    def __init__(self, loop, link, client):
         self.loop = loop
         self.link = link
+        self.client = client
         self.transport = None
 
     def connection_made(self, transport):
         self.transport = transport
 
     def datagram_received(self, data, address):
-        if not self.link.passes(True):
+        to_target = address == self.client
+        if not self.link.passes(to_target):
             return
         delay = LATE_S if self.link.mode == LATE else 0
-        self.loop.call_later(delay, self.transport.sendto, data, self.link.target)
+        self.loop.call_later(delay, self.transport.sendto, data, self.link.target if to_target else self.client)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -50,7 +50,7 @@
         for index in range(self.controller_count):
             self.links[f"controller-{index + 1}"] = self.proxy.tcp(self._proxied(index), (d.LOOPBACK, self.ports.controller(index)))
         for index in range(self.balancer_count):
-            self.links[f"balancer-{index + 1}"] = self.proxy.udp(self._proxied(10 + index), (d.LOOPBACK, self.ports.balancer(index)))
+            self.links[f"balancer-{index + 1}"] = self.proxy.udp(self._proxied(10 + index), (d.LOOPBACK, self.ports.balancer(index)), (d.LOOPBACK, self.ports.fabric))
 
     def _proxied(self, index):
         return (d.LOOPBACK, self.ports.base + PROXY_PORTS + index)
