Refuse at once whatever finds no slot, whichever copy it is

What can't be served is to be rejected at once. Change: the reset goes out for every copy; the reason no_slot_yet is gone.

--- a/src/passthrough/internal/decisionlines.cpp
+++ b/src/passthrough/internal/decisionlines.cpp
@@ -57,7 +57,6 @@
 std::string_view remedyOf(RelayReason reason)
 {
     switch (reason) {
-    case RelayReason::NoSlotYet:
     case RelayReason::TakenByNobody:
         return "add servers, or look at why the named ones take nothing";
     case RelayReason::ServerDead:
--- a/src/passthrough/internal/relaydecision.cpp
+++ b/src/passthrough/internal/relaydecision.cpp
@@ -27,7 +27,6 @@
         "busy",
         "wrong_service",
         "handed_back",
-        "no_slot_yet",
         "taken_by_nobody",
         "held_by_nobody",
         "server_dead",
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -142,11 +142,7 @@
                 return withObstacle(passTo(*server, reason), reason);
         }
     }
-    if (senderIsNewer(search, view))
-        return withObstacle(drop(RelayReason::TableTooOld), reason);
-    // A slot may be free when the caller's next copy comes; after the last one it is told at once.
-    const bool full = reason == RelayReason::Busy || reason == RelayReason::Cold;
-    return withObstacle(full && !packet.lastCopy() ? drop(RelayReason::NoSlotYet) : reset(RelayReason::TakenByNobody), reason);
+    return withObstacle(senderIsNewer(search, view) ? drop(RelayReason::TableTooOld) : reset(RelayReason::TakenByNobody), reason);
 }
 
 RelayDecision RelayRouter::follow(const Search& search, const FlowPacket& packet, const agent::TableView& view)
--- a/src/passthrough/types/flowpacket.h
+++ b/src/passthrough/types/flowpacket.h
@@ -38,9 +38,6 @@
     // For a packet that opens a flow: how long the caller has waited since the first one.
     std::chrono::milliseconds waited() const { return copyTimes[std::min<std::size_t>(earlierCopies(), copiesSent)]; }
 
-    // For a packet that opens a flow: whether the caller sends no more copies of it.
-    bool lastCopy() const { return earlierCopies() >= copiesSent; }
-
     // The flow, for a packet that a server sent.
     fleet::FlowKey flowOfAnswer() const { return { .caller = key.service, .service = key.caller, .protocol = key.protocol }; }
 };
--- a/src/passthrough/types/relaydecision.h
+++ b/src/passthrough/types/relaydecision.h
@@ -40,8 +40,6 @@
     Busy,
     WrongService,
     HandedBack,
-    // Every server was asked, and none has a slot or bears more now; the caller asks again soon.
-    NoSlotYet,
     // Every server was asked.
     TakenByNobody,
     HeldByNobody,
@@ -54,7 +52,7 @@
     SearchBounded,
     ResetNotHeld,
 };
-constexpr std::size_t relayReasons = 23;
+constexpr std::size_t relayReasons = 22;
 
 std::string_view name(RelayAction action);
 std::string_view name(RelayReason reason);
