Give the watch stream a file of its own; keep the soak's ports below the kernel's

Change: watchstream.h and .cpp; soak seeds use ports from 12000 on; cancelled proxy connections leave no trace on the console.

--- a/scripts/faultproxy.py
+++ b/scripts/faultproxy.py
@@ -88,7 +88,11 @@
             writer.transport.abort()
             return
         link.writers |= {writer, target_writer}
-        await asyncio.gather(self._copy(link, reader, target_writer, True), self._copy(link, target_reader, writer, False))
+        try:
+            await asyncio.gather(self._copy(link, reader, target_writer, True), self._copy(link, target_reader, writer, False))
+        except asyncio.CancelledError:
+            # The proxy closes.
+            pass
         link.writers -= {writer, target_writer}
 
     @staticmethod
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -34,7 +34,8 @@
 CLIENT_TIMEOUT_S = 6
 # Requests a second of each kind.
 RATE = 12
-BASE_PORTS = 33000
+# Below the ports that the kernel gives to connections.
+BASE_PORTS = 12000
 PORTS_A_SEED = 1000
 # Ports of the proxies within a seed's range.
 PROXY_PORTS = 700
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -1,6 +1,7 @@
 #include "fleet/internal/grpcfleetclient.h"
 
 #include "fleet/fleettable.h"
+#include "fleet/internal/watchstream.h"
 #include "fleet/tabledelta.h"
 #include "foundation/error.h"
 #include "foundation/log.h"
@@ -27,8 +28,6 @@
 constexpr auto serviceInterval = std::chrono::milliseconds(500);
 constexpr auto renewTimeout = std::chrono::seconds(3);
 constexpr auto leaveTimeout = std::chrono::seconds(5);
-// How long a new stream may take to its first update.
-constexpr auto firstUpdateTimeout = std::chrono::seconds(2);
 // How long no controller may be heard before the daemon says so.
 constexpr auto unreachableAfter = std::chrono::seconds(5);
 // Heartbeats in a row with an older version than a peer's packet carried, after which another controller is asked.
@@ -49,69 +48,6 @@
     while (queue.Next(&tag, &changed)) { }
 }
 
-// The one event that is outstanding on the watch's queue.
-void* const watchTag = nullptr;
-
-// Reads one stream in a straight line with timeouts.
-class WatchStream {
-public:
-    WatchStream(schema::Fleet::Stub& stub, const schema::WatchRequest& request, grpc::ClientContext& context)
-        : m_context(context)
-        , m_reader(stub.AsyncWatch(&m_context, request, &m_queue, watchTag))
-    {
-    }
-
-    ~WatchStream()
-    {
-        m_context.TryCancel();
-        m_queue.Shutdown();
-        void* tag = nullptr;
-        bool ok = false;
-        while (m_queue.Next(&tag, &ok)) { }
-    }
-
-    WatchStream(const WatchStream&) = delete;
-    WatchStream& operator=(const WatchStream&) = delete;
-
-    bool opened() { return await(firstUpdateTimeout); }
-
-    // Null if the stream has ended or the time is over.
-    const schema::TableUpdate* read(Duration timeout)
-    {
-        m_reader->Read(&m_update, watchTag);
-        return await(timeout) ? &m_update : nullptr;
-    }
-
-    grpc::Status finish()
-    {
-        if (m_timedOut)
-            return { grpc::StatusCode::DEADLINE_EXCEEDED, "the controller was silent for longer than its lease" };
-        grpc::Status status;
-        m_reader->Finish(&status, watchTag);
-        await(firstUpdateTimeout);
-        return status;
-    }
-
-private:
-    // False if the event failed or the time is over. A cancelled context fails the event.
-    bool await(Duration timeout)
-    {
-        void* tag = nullptr;
-        bool ok = false;
-        if (m_queue.AsyncNext(&tag, &ok, std::chrono::system_clock::now() + timeout) == grpc::CompletionQueue::GOT_EVENT)
-            return ok;
-        m_timedOut = true;
-        return false;
-    }
-
-    bool m_timedOut = false;
-    // Outlives the queue: a read that was given up is finished when the queue is emptied.
-    schema::TableUpdate m_update;
-    grpc::ClientContext& m_context;
-    grpc::CompletionQueue m_queue;
-    std::unique_ptr<grpc::ClientAsyncReader<schema::TableUpdate>> m_reader;
-};
-
 schema::Role roleOf(const schema::DaemonSettings& settings)
 {
     if (settings.has_balancer())
@@ -280,7 +216,7 @@
 {
     WatchStream stream(target, request, context);
     WatchEnd end;
-    Duration lease = firstUpdateTimeout;
+    Duration lease = WatchStream::firstUpdateTimeout;
     int staleHeartbeats = 0;
     const bool open = stream.opened();
     while (const auto* update = open ? stream.read(lease) : nullptr) {
--- /dev/null
+++ b/src/fleet/internal/watchstream.cpp
@@ -0,0 +1,53 @@
+#include "fleet/internal/watchstream.h"
+
+namespace clementinesill::fleet {
+
+namespace {
+
+// The one event that is outstanding on the queue.
+void* const watchTag = nullptr;
+
+} // namespace
+
+WatchStream::WatchStream(schema::Fleet::Stub& stub, const schema::WatchRequest& request, grpc::ClientContext& context)
+    : m_context(context)
+    , m_reader(stub.AsyncWatch(&m_context, request, &m_queue, watchTag))
+{
+}
+
+WatchStream::~WatchStream()
+{
+    m_context.TryCancel();
+    m_queue.Shutdown();
+    void* tag = nullptr;
+    bool ok = false;
+    while (m_queue.Next(&tag, &ok)) { }
+}
+
+const schema::TableUpdate* WatchStream::read(Duration timeout)
+{
+    m_reader->Read(&m_update, watchTag);
+    return await(timeout) ? &m_update : nullptr;
+}
+
+grpc::Status WatchStream::finish()
+{
+    if (m_timedOut)
+        return { grpc::StatusCode::DEADLINE_EXCEEDED, "the controller was silent for longer than its lease" };
+    grpc::Status status;
+    m_reader->Finish(&status, watchTag);
+    await(firstUpdateTimeout);
+    return status;
+}
+
+bool WatchStream::await(Duration timeout)
+{
+    void* tag = nullptr;
+    bool ok = false;
+    if (m_queue.AsyncNext(&tag, &ok, std::chrono::system_clock::now() + timeout) == grpc::CompletionQueue::GOT_EVENT)
+        return ok;
+    m_timedOut = true;
+    return false;
+}
+
+} // namespace clementinesill::fleet
