--- a/scripts/request_story.py
+++ b/scripts/request_story.py
@@ -48,10 +48,6 @@
         print(f"{skipped} lines are no log lines", file=sys.stderr)
 
 
-def flow_of(entry):
-    return entry.get("request", "").partition("#")[0]
-
-
 def belongs(entry, options):
     if "request" not in entry:
         return False
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -86,9 +86,8 @@
 class Clients:
     """Callers on threads: reads, orders with an id that is never sent twice, and feeds. They note what breaks a promise."""
 
-    def __init__(self, system, seed):
+    def __init__(self, system):
         self.system = system
-        self.random = random.Random(seed)
         self.stopping = threading.Event()
         self.broken = []
         self.refused = set()
@@ -154,7 +153,7 @@
         base = BASE_PORTS + slot * PORTS_A_SEED
         services = tuple(d.ServiceSpec(s.name, s.virtual_address, f"127.0.{10 + slot}.{10 + n}", s.port, s.servers) for n, s in enumerate(size.services))
         self.system = SoakDeployment(build, self.folder, d.Size(size.name, size.zones, services), base_port=base, seed=seed)
-        self.clients = Clients(self.system, seed)
+        self.clients = Clients(self.system)
         self.fault_count = faults
         self.zones = {}
         self.undo = []
@@ -187,26 +186,23 @@
             self.system.kill(f"controller-{index + 1}")
         return lambda: [self.system.start_controller(index) for index in lost]
 
+    def _kill(self, name, start):
+        if name not in self.system.processes:
+            return None
+        self.system.kill(name)
+        return start
+
     def kill_balancer(self):
         index = self.random.randrange(self.system.balancer_count)
-        if f"balancer-{index + 1}" not in self.system.processes:
-            return None
-        self.system.kill(f"balancer-{index + 1}")
-        return lambda: self.system.start_balancer(index)
+        return self._kill(f"balancer-{index + 1}", lambda: self.system.start_balancer(index))
 
     def kill_server(self):
         spec = self.random.choice(self.system.servers)
-        if f"server-{spec.name}" not in self.system.processes:
-            return None
-        self.system.kill(f"server-{spec.name}")
-        return lambda: self.system.start_server(spec)
+        return self._kill(f"server-{spec.name}", lambda: self.system.start_server(spec))
 
     def kill_agent(self):
         spec = self.random.choice(self.system.servers)
-        if f"agent-{spec.name}" not in self.system.processes:
-            return None
-        self.system.kill(f"agent-{spec.name}")
-        return lambda: self.system.start_agent(spec)
+        return self._kill(f"agent-{spec.name}", lambda: self.system.start_agent(spec))
 
     def freeze(self):
         name = self._process(self.random.choice(["controller", "balancer", "agent", "server"]))
--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -33,8 +33,6 @@
 
 namespace {
 
-// Lines of one event a second: some 200 bytes each, so that a flood stays within some KB a second and event.
-constexpr std::uint32_t defaultLinesPerSecond = 20;
 // Frames of the stack that a log line names when the process fails.
 constexpr int loggedFrames = 24;
 
@@ -71,7 +69,10 @@
 void startLog(const schema::DaemonSettings& settings)
 {
     const auto& options = settings.log();
-    configureLog({ .level = parseLogLevel(options.level()), .json = wantsJson(options), .file = options.file(), .standardOutput = options.standard_output(), .linesPerSecond = options.lines_per_second() ? options.lines_per_second() : defaultLinesPerSecond, .daemon = settings.name() });
+    LogOptions log { .level = parseLogLevel(options.level()), .json = wantsJson(options), .file = options.file(), .standardOutput = options.standard_output(), .daemon = settings.name() };
+    if (options.lines_per_second())
+        log.linesPerSecond = options.lines_per_second();
+    configureLog(log);
 }
 
 // Tells settings apart in the log.
--- a/src/control/internal/peerservice.h
+++ b/src/control/internal/peerservice.h
@@ -7,6 +7,7 @@
 namespace clementinesill::control {
 
 class ReplicatedCommandLog;
+class ReplicatedLog;
 
 // Calls of the other controllers, handed to the log on the control thread.
 class PeerService final : public schema::Peers::CallbackService {
@@ -24,6 +25,10 @@
     grpc::ServerUnaryReactor* Describe(grpc::CallbackServerContext* call, const schema::DescribeRequest* request, schema::DescribeResponse* response) override;
 
 private:
+    // Hands the request to the log's step on the control thread.
+    template <typename Request, typename Response>
+    grpc::ServerUnaryReactor* hand(grpc::CallbackServerContext* call, const Request* request, Response* response, Response (ReplicatedLog::*step)(const Request&));
+
     boost::asio::io_context& m_context;
     ReplicatedCommandLog& m_log;
 };
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -76,7 +76,7 @@
 MonotonicTime ReplicatedLog::dueAt() const
 {
     if (m_role == ReplicaRole::Leader)
-        return leaseLive() ? std::min(leaseEnd(), majorityLostAt()) : majorityLostAt();
+        return leaseLive() ? leaseEnd() : majorityLostAt();
     const auto election = isMember() ? m_electionDeadline : MonotonicTime::max();
     return leaderHeard() ? std::min(election, m_leaseContact + m_options.lease) : election;
 }
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -220,11 +220,12 @@
     int staleHeartbeats = 0;
     const bool open = stream.opened();
     while (const auto* update = open ? stream.read(lease) : nullptr) {
+        const bool first = !m_table.version();
         if (!takeUpdate(*update)) {
             end.reason = "the controller's update does not fit the table held";
             return end;
         }
-        if (!end.received)
+        if (first && m_table.version())
             noteFirstTable(endpoint);
         end.received = true;
         learnControllers(*update);
@@ -284,8 +285,6 @@
 void GrpcFleetClient::noteFirstTable(const std::string& endpoint)
 {
     const std::lock_guard lock(m_mutex);
-    if (std::exchange(m_tableTaken, true))
-        return;
     m_callChoice.prefer([&](const auto& known) { return known == endpoint; });
     std::erase_if(m_connections, [&](const auto& known) { return known.first != endpoint; });
     m_stopped.notify_all();
@@ -294,7 +293,7 @@
 void GrpcFleetClient::awaitFirstTable(MonotonicTime deadline)
 {
     std::unique_lock lock(m_mutex);
-    m_stopped.wait_for(lock, deadline - m_clock.now(), [this, seen = m_interruptions.load()] { return interrupted(seen) || m_tableTaken; });
+    m_stopped.wait_for(lock, deadline - m_clock.now(), [this, seen = m_interruptions.load()] { return interrupted(seen) || m_holder.table()->version(); });
 }
 
 // Called with m_mutex held.
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -92,7 +92,6 @@
     std::vector<std::string> m_learned;
     ControllerChoice m_callChoice;
     std::map<std::string, Connection> m_connections;
-    bool m_tableTaken = false;
     // The stream that is read now, if any.
     grpc::ClientContext* m_watched = nullptr;
 };
--- a/src/framework/foundation/internal/log.cpp
+++ b/src/framework/foundation/internal/log.cpp
@@ -47,6 +47,8 @@
     return instance;
 }
 
+log4cplus::Logger rootLogger() { return log4cplus::Logger::getRoot(); }
+
 log4cplus::LogLevel libraryLevel(LogLevel level)
 {
     switch (level) {
@@ -73,7 +75,7 @@
         .fields = fields,
     };
     ++state().written;
-    log4cplus::Logger::getRoot().log(libraryLevel(level), state().json ? renderJson(line) : renderText(line));
+    rootLogger().log(libraryLevel(level), state().json ? renderJson(line) : renderText(line));
 }
 
 // Tells what was left out since it was told last.
@@ -107,7 +109,7 @@
         state().lostTold = 0;
         state().budget = LogBudget(options.linesPerSecond ? options.linesPerSecond : std::numeric_limits<std::uint32_t>::max());
     }
-    auto root = log4cplus::Logger::getRoot();
+    auto root = rootLogger();
     root.removeAllAppenders();
     root.setLogLevel(libraryLevel(options.level));
     log4cplus::SharedAppenderPtr appender;
@@ -128,12 +130,12 @@
 
 void setLogLevel(LogLevel level)
 {
-    log4cplus::Logger::getRoot().setLogLevel(libraryLevel(level));
+    rootLogger().setLogLevel(libraryLevel(level));
 }
 
 bool admitLine(LogLevel level, std::string_view event)
 {
-    if (!state().configured || !log4cplus::Logger::getRoot().isEnabledFor(libraryLevel(level)))
+    if (!state().configured || !rootLogger().isEnabledFor(libraryLevel(level)))
         return false;
     bool admitted = false;
     std::vector<LogBudget::Surplus> surplus;
--- a/src/framework/foundation/types/logoptions.h
+++ b/src/framework/foundation/types/logoptions.h
@@ -16,7 +16,8 @@
     std::string file;
     // Standard output instead of standard error.
     bool standardOutput = false;
-    // Lines of one event written in a second at most; 0 for no limit.
+    // Lines of one event written in a second at most, some 200 bytes each, so that a flood stays within some KB; 0 for no
+    // limit.
     std::uint32_t linesPerSecond = 20;
     // Added to each line as "daemon".
     std::string daemon;
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -14,6 +14,7 @@
 #include "passthrough/heldflows.h"
 #include "passthrough/internal/relaypath.h"
 #include "passthrough/internal/serverlink.h"
+#include "passthrough/internal/tablemetrics.h"
 #include "passthrough/iserverbeats.h"
 #include "passthrough/localserver.h"
 #include "passthrough/passthroughmodules.h"
@@ -135,9 +136,7 @@
         m_metrics.describe("opening_wait_seconds", "how long callers had waited when their flow was taken, by their copies of the opening packet");
         m_metrics.describe("relay_packets_total", "packets by what was decided about them");
         m_metrics.describe("answer_seconds", "time from a request to the first byte of its answer, by route");
-        m_metrics.addGauge("table_version", {}, [this] { return static_cast<double>(m_fleet.tables().table()->version()); });
-        m_metrics.addGauge("configuration_version", {}, [this] { return static_cast<double>(m_fleet.tables().table()->documentVersion()); });
-        m_metrics.addGauge("table_age_seconds", {}, [this] { return std::chrono::duration<double>(m_clock.now() - m_fleet.tables().confirmedAt()).count(); });
+        exportTable(m_metrics, m_fleet.tables(), m_clock);
         m_metrics.addGauge("server_outstanding", {}, [this] { return onLoop([this] { return static_cast<double>(m_load.outstanding()); }); });
         m_metrics.addGauge("server_expected_wait_seconds", {}, [this] { return onLoop([this] { return std::chrono::duration<double>(m_load.expectedWait()).count(); }); });
         m_metrics.addGauge("held_flows", {}, [this] { return onLoop([this] { return static_cast<double>(m_flows.size()); }); });
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -12,6 +12,7 @@
 #include "passthrough/entryrouter.h"
 #include "passthrough/internal/decisionlines.h"
 #include "passthrough/internal/packetsocket.h"
+#include "passthrough/internal/tablemetrics.h"
 #include "passthrough/ipacketformat.h"
 #include "passthrough/passthroughmodules.h"
 #include "settings.pb.h"
@@ -48,9 +49,7 @@
         , m_peers(m_loop, m_peerEndpoint)
     {
         metrics.describe("entry_packets_total", "callers' packets by what was decided about them");
-        metrics.addGauge("table_version", {}, [this] { return static_cast<double>(m_fleet.tables().table()->version()); });
-        metrics.addGauge("configuration_version", {}, [this] { return static_cast<double>(m_fleet.tables().table()->documentVersion()); });
-        metrics.addGauge("table_age_seconds", {}, [this] { return std::chrono::duration<double>(m_clock.now() - m_fleet.tables().confirmedAt()).count(); });
+        exportTable(metrics, fleet.tables(), m_clock);
         for (std::size_t reason = 0; reason < m_decisions.size(); ++reason)
             m_decisions[reason] = &metrics.counter("entry_packets_total", { { "reason", std::string(name(static_cast<EntryReason>(reason))) } });
     }
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -33,12 +33,6 @@
     return { .action = RelayAction::PassOn, .reason = reason, .nextAgent = server.agent, .nextServerId = server.id, .nextIncarnation = server.incarnation, .nextServiceId = server.serviceId };
 }
 
-RelayDecision withObstacle(RelayDecision decision, RelayReason obstacle)
-{
-    decision.obstacle = obstacle;
-    return decision;
-}
-
 bool senderIsNewer(const Search& search, const agent::TableView& view)
 {
     return search.route.tableVersion > view.table.version();
@@ -133,16 +127,25 @@
     return m_options.load.expectedWait() <= target / worthwhileWaitDivisor;
 }
 
-RelayDecision RelayRouter::passOpening(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason reason)
+RelayDecision RelayRouter::passOpening(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason obstacle) const
+{
+    auto decision = senderIsNewer(search, view) ? drop(RelayReason::TableTooOld) : reset(RelayReason::TakenByNobody);
+    if (const auto* server = nextAccepting(search, packet, view))
+        decision = passTo(*server, obstacle);
+    decision.obstacle = obstacle;
+    return decision;
+}
+
+const fleet::ServerEntry* RelayRouter::nextAccepting(const Search& search, const FlowPacket& packet, const agent::TableView& view) const
 {
     const auto* service = view.table.service(serviceFor(search, packet, view));
-    if (service && search.visited.size() < dataplane::maximumVisited) {
-        for (const auto* server : rankFromZone(fleet::hash(packet.key, view.table.hashSeed()), service->servers, m_options.zone)) {
-            if (server->id != m_serverId && server->accepting() && !search.asked(server->id))
-                return withObstacle(passTo(*server, reason), reason);
-        }
+    if (!service || search.visited.size() >= dataplane::maximumVisited)
+        return nullptr;
+    for (const auto* server : rankFromZone(fleet::hash(packet.key, view.table.hashSeed()), service->servers, m_options.zone)) {
+        if (server->id != m_serverId && server->accepting() && !search.asked(server->id))
+            return server;
     }
-    return withObstacle(senderIsNewer(search, view) ? drop(RelayReason::TableTooOld) : reset(RelayReason::TakenByNobody), reason);
+    return nullptr;
 }
 
 RelayDecision RelayRouter::follow(const Search& search, const FlowPacket& packet, const agent::TableView& view)
@@ -170,34 +173,31 @@
 }
 
 // The servers of the packet's service come first; a route may have led elsewhere when the flow was opened, so all others
-// follow.
+// follow. A silent server's agent is most likely gone and would end the search, so it is asked last.
 const fleet::ServerEntry* RelayRouter::nextHolder(const Search& search, const FlowPacket& packet, const agent::TableView& view) const
 {
     const auto flowHash = fleet::hash(packet.key, view.table.hashSeed());
     if (search.visited.size() >= dataplane::maximumVisited)
         return nextInRank(search, flowHash, view);
-    const auto* live = nextHolder(search, flowHash, view, false);
-    return live ? live : nextHolder(search, flowHash, view, true);
-}
-
-// A silent server's agent is most likely gone and would end the search, so it is asked last.
-const fleet::ServerEntry* RelayRouter::nextHolder(const Search& search, std::uint64_t flowHash, const agent::TableView& view, bool silent) const
-{
-    const auto nextOf = [&](const fleet::ServiceEntry& service) -> const fleet::ServerEntry* {
+    const fleet::ServerEntry* silent = nullptr;
+    const auto liveOf = [&](const fleet::ServiceEntry& service) -> const fleet::ServerEntry* {
         for (const auto* server : rankFromZone(flowHash, service.servers, m_options.zone)) {
-            if (server->id != m_serverId && server->silent == silent && !search.asked(server->id))
+            if (server->id == m_serverId || search.asked(server->id))
+                continue;
+            if (!server->silent)
                 return server;
+            silent = silent ? silent : server;
         }
         return nullptr;
     };
     const auto* first = view.table.service(search.route.serviceId);
-    if (const auto* server = first ? nextOf(*first) : nullptr)
+    if (const auto* server = first ? liveOf(*first) : nullptr)
         return server;
     for (const auto& service : view.table.services()) {
-        if (const auto* server = nextOf(service))
+        if (const auto* server = liveOf(service))
             return server;
     }
-    return nullptr;
+    return silent;
 }
 
 // What the visited list cannot hold is asked in the order of rank alone, which every agent finds for itself: the next one is
--- /dev/null
+++ b/src/passthrough/internal/tablemetrics.cpp
@@ -0,0 +1,17 @@
+#include "passthrough/internal/tablemetrics.h"
+
+#include "fleet/fleettable.h"
+#include "fleet/itablesource.h"
+#include "foundation/iclock.h"
+#include "foundation/metrics.h"
+
+namespace clementinesill::passthrough {
+
+void exportTable(MetricsRegistry& metrics, const fleet::ITableSource& tables, const IClock& clock)
+{
+    metrics.addGauge("table_version", {}, [&tables] { return static_cast<double>(tables.table()->version()); });
+    metrics.addGauge("configuration_version", {}, [&tables] { return static_cast<double>(tables.table()->documentVersion()); });
+    metrics.addGauge("table_age_seconds", {}, [&tables, &clock] { return std::chrono::duration<double>(clock.now() - tables.confirmedAt()).count(); });
+}
+
+} // namespace clementinesill::passthrough
--- a/src/passthrough/relayrouter.h
+++ b/src/passthrough/relayrouter.h
@@ -46,14 +46,14 @@
 
 private:
     RelayDecision open(const Search& search, const FlowPacket& packet, const agent::TableView& view);
-    RelayDecision passOpening(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason reason);
+    RelayDecision passOpening(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason obstacle) const;
+    const fleet::ServerEntry* nextAccepting(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
     RelayDecision follow(const Search& search, const FlowPacket& packet, const agent::TableView& view);
     RelayDecision passOn(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason reason);
     RelayReason obstacle(const Search& search, std::uint32_t serviceId, const agent::TableView& view);
     std::uint32_t serviceFor(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
     bool worthWaiting(const FlowPacket& packet, const fleet::RouteEntry* route) const;
     const fleet::ServerEntry* nextInRank(const Search& search, std::uint64_t flowHash, const agent::TableView& view) const;
-    const fleet::ServerEntry* nextHolder(const Search& search, std::uint64_t flowHash, const agent::TableView& view, bool silent) const;
     const fleet::ServerEntry* nextHolder(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
 
     RelayRouterOptions m_options;
--- a/src/passthrough/tests/largesearch.cpp
+++ b/src/passthrough/tests/largesearch.cpp
@@ -31,25 +31,6 @@
     return tables.build();
 }
 
-// One agent that holds nothing; the table is shared.
-struct EmptyAgent {
-    EmptyAgent(std::uint32_t id, const std::string& zone, const ManualClock& clock)
-        : router({ .zone = zone, .flows = flows, .server = server, .load = load, .cold = cold, .misses = misses, .clock = clock })
-        , server(clock, testHeartbeat)
-        , cold(clock, {})
-        , flows(load, clock)
-    {
-        router.setServer(id, id % 5 ? deskService : galleryService);
-    }
-
-    RelayRouter router;
-    ServerLoad load;
-    LocalServer server;
-    ColdLimit cold;
-    HeldFlows flows;
-    agent::MissLog misses { 16 };
-};
-
 // Ids of the servers that a packet asks from the first one on, and how its search ends.
 struct Walk {
     std::vector<std::uint32_t> asked;
@@ -66,7 +47,9 @@
     while (walk.asked.size() <= longestWalk) {
         const auto id = search.route.serverId;
         walk.asked.push_back(id);
-        EmptyAgent agent(id, "zone-" + std::to_string(id % 3), clock);
+        // An agent that holds nothing.
+        RouterParts agent(clock, "zone-" + std::to_string(id % 3));
+        agent.router.setServer(id, id % 5 ? deskService : galleryService);
         clock.advance(std::chrono::seconds(61));
         const auto& held = otherTable && id % 7 == 0 ? *otherTable : table;
         const auto decision = agent.router.decideHandedBack(search, packet, { .table = held, .confirmedAt = {} });
--- a/src/passthrough/tests/relayagent.h
+++ b/src/passthrough/tests/relayagent.h
@@ -1,28 +1,23 @@
 #pragma once
 
-#include "agent/internal/misslog.h"
 #include "agent/types/tableview.h"
 #include "fleet/fleettable.h"
-#include "passthrough/coldlimit.h"
-#include "passthrough/heldflows.h"
-#include "passthrough/localserver.h"
-#include "passthrough/relayrouter.h"
+#include "passthrough/tests/ownclock.h"
 #include "passthrough/tests/packets.h"
 #include "passthrough/tests/relaytable.h"
+#include "passthrough/tests/routerparts.h"
 #include "passthrough/types/search.h"
-#include "testing/manualclock.h"
 
 #include <memory>
 #include <string>
 
 namespace clementinesill::passthrough {
 
-constexpr std::chrono::milliseconds testHeartbeat { 770 };
 // One agent's decisions with a clock and a server of their own.
-struct RelayAgent {
+struct RelayAgent : OwnClock, RouterParts {
     explicit RelayAgent(std::uint32_t id, std::uint32_t service = deskService, const std::string& zone = "mandaue")
-        : id(id)
-        , router({ .zone = zone, .flows = flows, .server = server, .load = load, .cold = cold, .misses = misses, .clock = clock })
+        : RouterParts(clock, zone, testHeartbeat, { .factor = 1.5, .extraFlows = 5 })
+        , id(id)
     {
         load.setSlots(2);
         router.setServer(id, service);
@@ -59,16 +54,9 @@
 
     std::uint32_t id;
     std::uint64_t sequence = 0;
-    ManualClock clock;
     RelayTable tables;
     std::shared_ptr<const fleet::FleetTable> table = tables.build();
     MonotonicTime confirmedAt;
-    ServerLoad load;
-    LocalServer server { clock, testHeartbeat };
-    ColdLimit cold { clock, { .factor = 1.5, .extraFlows = 5 } };
-    HeldFlows flows { load, clock };
-    agent::MissLog misses { 64 };
-    RelayRouter router;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/tests/restartmodel.cpp
+++ b/src/passthrough/tests/restartmodel.cpp
@@ -52,11 +52,8 @@
 } // namespace
 
 RestartModel::Node::Node(std::uint32_t id, const ManualClock& clock)
-    : id(id)
-    , server(clock, std::chrono::hours(1))
-    , cold(clock, {})
-    , flows(work, clock)
-    , router({ .zone = "mandaue", .flows = flows, .server = server, .load = work, .cold = cold, .misses = misses, .clock = clock })
+    : RouterParts(clock, "mandaue", std::chrono::hours(1))
+    , id(id)
 {
     server.accept({ .name = "server-" + std::to_string(id), .service = "desk", .zone = "mandaue", .slots = 5, .sequence = 1, .startedAtMs = 5 });
     router.setServer(id, modelService);
@@ -70,7 +67,7 @@
 {
     for (std::uint32_t id = 1; id <= load.servers; ++id) {
         m_nodes.push_back(std::make_unique<Node>(id, m_clock));
-        m_nodes.back()->work.setSlots(load.slots);
+        m_nodes.back()->load.setSlots(load.slots);
     }
 }
 
--- a/src/passthrough/tests/restartmodel.h
+++ b/src/passthrough/tests/restartmodel.h
@@ -1,18 +1,13 @@
 #pragma once
 
-#include "agent/internal/misslog.h"
 #include "agent/types/tableview.h"
 #include "dataplane/internal/flowcache.h"
 #include "fleet/fleettable.h"
 #include "foundation/seededrandom.h"
-#include "passthrough/coldlimit.h"
 #include "passthrough/entryrouter.h"
-#include "passthrough/heldflows.h"
-#include "passthrough/localserver.h"
-#include "passthrough/relayrouter.h"
-#include "passthrough/serverload.h"
 #include "passthrough/tests/packets.h"
 #include "passthrough/tests/restartload.h"
+#include "passthrough/tests/routerparts.h"
 #include "passthrough/tests/servedrequests.h"
 #include "passthrough/types/search.h"
 #include "testing/manualclock.h"
@@ -43,16 +38,10 @@
     };
 
     // One server with its agent.
-    struct Node {
+    struct Node : RouterParts {
         Node(std::uint32_t id, const ManualClock& clock);
 
         std::uint32_t id;
-        ServerLoad work;
-        LocalServer server;
-        ColdLimit cold;
-        HeldFlows flows;
-        agent::MissLog misses { 64 };
-        RelayRouter router;
         std::uint32_t running = 0;
         std::deque<std::pair<std::size_t, std::uint16_t>> queue;
     };
--- a/src/passthrough/types/flowpacket.h
+++ b/src/passthrough/types/flowpacket.h
@@ -11,10 +11,8 @@
 
 // Header of a packet between a caller and a server, whatever its format on the wire.
 struct FlowPacket {
-    // Copies of an opening packet that a caller sends while it gets no answer; docs/platform.md.
-    static constexpr std::uint32_t copiesSent = 2;
-    // When the first packet and its copies are sent.
-    static constexpr std::array<std::chrono::milliseconds, copiesSent + 1> copyTimes { std::chrono::milliseconds(0), std::chrono::milliseconds(200), std::chrono::milliseconds(600) };
+    // When a caller that gets no answer sends its opening packet and the copies of it; docs/platform.md.
+    static constexpr std::array copyTimes { std::chrono::milliseconds(0), std::chrono::milliseconds(200), std::chrono::milliseconds(600) };
 
     // Source as caller, destination as service; reversed for a server's own packets.
     fleet::FlowKey key;
@@ -36,7 +34,7 @@
     std::uint32_t earlierCopies() const { return acknowledgement; }
 
     // For a packet that opens a flow: how long the caller has waited since the first one.
-    std::chrono::milliseconds waited() const { return copyTimes[std::min<std::size_t>(earlierCopies(), copiesSent)]; }
+    std::chrono::milliseconds waited() const { return copyTimes[std::min<std::size_t>(earlierCopies(), copyTimes.size() - 1)]; }
 
     // The flow, for a packet that a server sent.
     fleet::FlowKey flowOfAnswer() const { return { .caller = key.service, .service = key.caller, .protocol = key.protocol }; }
