Keep a controller running while its disk refuses writes

Cause: a failed write ended the process, since what it left on the disk is unknown.

Ruled out: blocking until the disk recovers (serves neither tables nor votes, and does not respond to a stop).

Change: after a failed write nothing is acknowledged, a leader steps down, and the write is tried again with the next message or election. The log is first truncated to its last durable record, because a whole record may be left in memory that a later sync does not write; unfinished temporary files are removed, and a rename is followed by a folder sync before the next append is acknowledged. Status (`disk fails`), the metric storage_failing and the events storage_failed and storage_recovered tell it. FailStopStorage became MonitoredStorage.

--- a/scripts/request_story.py
+++ b/scripts/request_story.py
@@ -20,7 +20,7 @@
     "server_drain_changed", "server_ended_before_agent", "zone_out", "zone_returned", "quorum_lost", "quorum_gained",
     "leader_lost", "leader_heard", "leader_elected", "leader_stepped_down", "controllers_unreachable",
     "controllers_reachable", "controller_unreachable", "controller_reached", "disk_slow", "disk_recovered",
-    "storage_failed", "daemon_started", "daemon_stopping", "daemon_stopped", "daemon_failed", "daemon_aborted",
+    "storage_failed", "storage_recovered", "daemon_started", "daemon_stopping", "daemon_stopped", "daemon_failed", "daemon_aborted",
     "log_lines_suppressed", "log_lines_lost", "heartbeat_refused",
 }
 # Conditions are printed from BEFORE_MS before the request's first line to AFTER_MS after its last.
--- a/src/control/ilogstorage.h
+++ b/src/control/ilogstorage.h
@@ -11,7 +11,8 @@
 namespace clementinesill::control {
 
 // Durable part of the replicated log. Every function returns once its effect would survive a power loss and throws
-// Error (Storage) otherwise; the controller must stop after such an error.
+// Error (Storage) otherwise. After an error of a write the earlier content is intact, the effect of that write is unknown
+// until the next one succeeds, and writes may be tried again.
 class ILogStorage {
 public:
     virtual ~ILogStorage() = default;
--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -114,7 +114,7 @@
     appendEntry({}, false);
     m_termStartIndex = m_log.lastIndex();
     log(LogLevel::Info, "leader_elected", { { .key = "term", .value = std::to_string(m_vote.term()) }, { .key = "index", .value = std::to_string(m_termStartIndex) } });
-    flush();
+    flushEntries();
 }
 
 std::optional<PeerMessage> ReplicatedLog::nextVoteRequest(const std::string& peer)
--- a/src/control/internal/entrylog.cpp
+++ b/src/control/internal/entrylog.cpp
@@ -114,11 +114,11 @@
     }
     snapshot.set_state(std::move(state));
     const auto base = std::max(m_baseIndex, index > trailingEntries ? index - trailingEntries : 0);
+    // Stored first: the entries stay in memory if that fails.
+    m_storage.saveSnapshot(snapshot, entriesFrom(base + 1, static_cast<std::size_t>(-1)));
     m_baseTerm = *termAt(base);
     m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(base - m_baseIndex));
     m_baseIndex = base;
-    const std::vector<schema::LogEntry> kept(m_entries.begin(), m_entries.end());
-    m_storage.saveSnapshot(snapshot, kept);
     m_syncedIndex = lastIndex();
     m_snapshot = std::move(snapshot);
 }
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -9,7 +9,7 @@
 
 std::optional<PeerMessage> ReplicatedLog::nextReplicationMessage(const std::string& peer)
 {
-    flush();
+    flushEntries();
     auto& progress = m_replication.peer(peer);
     const auto now = m_clock.now();
     if (progress.nextIndex > m_log.lastIndex() && now < progress.nextHeartbeat)
@@ -101,12 +101,12 @@
     return std::max(m_leaderSince, lastMajorityContact) + m_options.maxElectionTimeout;
 }
 
-void ReplicatedLog::stepDown()
+void ReplicatedLog::stepDown(const char* reason)
 {
     m_role = ReplicaRole::Follower;
     m_leaderEndpoint.clear();
     resetElectionTimeout();
-    log(LogLevel::Warn, "leader_stepped_down", { { .key = "reason", .value = "no majority of the controllers responds" } });
+    log(LogLevel::Warn, "leader_stepped_down", { { .key = "reason", .value = reason } });
 }
 
 // Changes one member at a time, and only after the previous change is committed: any majority of the old membership then
@@ -193,7 +193,7 @@
     schema::Command command;
     *command.mutable_membership() = membership;
     appendEntry(command.SerializeAsString(), true);
-    flush();
+    flushEntries();
 }
 
 } // namespace clementinesill::control
--- a/src/control/internal/logstorage.cpp
+++ b/src/control/internal/logstorage.cpp
@@ -79,6 +79,7 @@
         throwCorrupt(identityFile, "it is missing although other files are present");
     identity.set_disk_identity(m_random.next() | 1);
     replaceFile(identityFile, identity.SerializeAsString());
+    syncFolderIfChanged();
     return identity.disk_identity();
 }
 
@@ -109,6 +110,7 @@
     if (!extendsSnapshot(entries, snapshot))
         entries.clear();
     std::erase_if(entries, [&](const auto& entry) { return entry.index() <= snapshot.last_index(); });
+    m_logBytes = content.size();
     if (!rest.empty() || entries.size() != replayedCount)
         rewriteLog(entries);
     return entries;
@@ -117,6 +119,7 @@
 void LogStorage::saveVote(const schema::VoteRecord& vote)
 {
     replaceFile(voteFile, vote.SerializeAsString());
+    syncFolderIfChanged();
 }
 
 void LogStorage::append(std::span<const schema::LogEntry> entries)
@@ -125,13 +128,22 @@
         return;
     schema::LogFrame frame;
     frame.mutable_entries()->Assign(entries.begin(), entries.end());
-    m_files.append(logFile, encodeFrame(frame.SerializeAsString()));
+    const auto bytes = encodeFrame(frame.SerializeAsString());
+    syncFolderIfChanged();
+    // The failed write may have left a whole record that is in memory only, which a later sync would not write.
+    if (m_logHasFailedWrite)
+        m_files.truncate(logFile, m_logBytes);
+    m_logHasFailedWrite = true;
+    m_files.append(logFile, bytes);
     m_files.sync(logFile);
+    m_logHasFailedWrite = false;
+    m_logBytes += bytes.size();
 }
 
 void LogStorage::saveSnapshot(const schema::SnapshotRecord& snapshot, std::span<const schema::LogEntry> kept)
 {
     replaceFile(snapshotFile, snapshot.SerializeAsString());
+    syncFolderIfChanged();
     rewriteLog(kept);
 }
 
@@ -139,16 +151,37 @@
 {
     schema::LogFrame frame;
     frame.mutable_entries()->Assign(entries.begin(), entries.end());
-    replaceFile(logFile, frame.SerializeAsString());
+    m_logBytes = replaceFile(logFile, frame.SerializeAsString());
+    m_logHasFailedWrite = false;
+    syncFolderIfChanged();
 }
 
-void LogStorage::replaceFile(const char* name, std::string_view payload)
+std::uint64_t LogStorage::replaceFile(const char* name, std::string_view payload)
 {
     const std::string temporary = std::string(name) + temporarySuffix;
-    m_files.append(temporary, encodeFrame(payload));
-    m_files.sync(temporary);
+    const auto bytes = encodeFrame(payload);
+    writeTemporary(temporary, bytes);
     m_files.rename(temporary, name);
+    m_abandonedFiles.erase(temporary);
+    m_folderChanged = true;
+    return bytes.size();
+}
+
+void LogStorage::writeTemporary(const std::string& temporary, std::string_view bytes)
+{
+    if (m_abandonedFiles.contains(temporary))
+        m_files.remove(temporary);
+    m_abandonedFiles.insert(temporary);
+    m_files.append(temporary, bytes);
+    m_files.sync(temporary);
+}
+
+void LogStorage::syncFolderIfChanged()
+{
+    if (!m_folderChanged)
+        return;
     m_files.syncFolder();
+    m_folderChanged = false;
 }
 
 std::optional<std::string> LogStorage::readFile(const char* name)
--- a/src/control/internal/failstopstorage.h
+++ b/src/control/internal/monitoredstorage.h
@@ -3,6 +3,8 @@
 #include "control/ilogstorage.h"
 #include "foundation/iclock.h"
 
+#include <atomic>
+
 namespace clementinesill {
 class Histogram;
 class MetricsRegistry;
@@ -10,27 +12,29 @@
 
 namespace clementinesill::control {
 
-// Ends the process when a write cannot be made durable; continuing could acknowledge data that would be lost.
-class FailStopStorage final : public ILogStorage {
+// Measures the writes of another storage, and logs when they begin to fail or to be slow and when they no longer are.
+class MonitoredStorage final : public ILogStorage {
 public:
-    // Records the duration of each write in the metrics.
-    FailStopStorage(ILogStorage& storage, const IClock& clock, MetricsRegistry& metrics);
+    MonitoredStorage(ILogStorage& storage, const IClock& clock, MetricsRegistry& metrics);
 
-    // Throws Error (Storage) instead of ending the process, since nothing is served yet.
     StoredLog open() override { return m_storage.open(); }
-
     void saveVote(const schema::VoteRecord& vote) override;
     void append(std::span<const schema::LogEntry> entries) override;
     void saveSnapshot(const schema::SnapshotRecord& snapshot, std::span<const schema::LogEntry> kept) override;
 
+    // Whether the last write failed. May be called from any thread.
+    bool isFailing() const { return m_failing; }
+
 private:
     template <typename Write>
     void writeTimed(Write write);
+    void recordDuration(Duration elapsed);
 
     ILogStorage& m_storage;
     const IClock& m_clock;
     Histogram& m_syncTimes;
     bool m_slow = false;
+    std::atomic<bool> m_failing = false;
 };
 
 } // namespace clementinesill::control
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -40,9 +40,9 @@
     , m_files(dataFolder)
     , m_storage(m_files, m_random)
     , m_metrics(metrics)
-    , m_failStopStorage(m_storage, clock, metrics)
+    , m_monitoredStorage(m_storage, clock, metrics)
     , m_machine(state, [this](std::uint64_t index, std::uint64_t term, const CommandResult& result) { onApplied(index, term, result); })
-    , m_log(options, clock, m_random, m_failStopStorage, m_machine)
+    , m_log(options, clock, m_random, m_monitoredStorage, m_machine)
     , m_credentials(credentials)
     , m_deadlineWakeup(context)
     , m_firstElectionDeadline(clock.now() + firstElectionTimeout)
@@ -242,6 +242,7 @@
     self.set_commit_index(m_log.commitIndex());
     self.set_snapshot_index(m_log.entries().snapshot().last_index());
     self.set_lease_valid(hasValidLease());
+    self.set_storage_failing(m_monitoredStorage.isFailing());
     const auto* membership = m_log.entries().membership();
     *response.add_controllers() = self;
     for (const auto& peer : m_log.peers()) {
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "control/icommandlog.h"
-#include "control/internal/failstopstorage.h"
 #include "control/internal/fleetstatemachine.h"
 #include "control/internal/groupjoiner.h"
+#include "control/internal/monitoredstorage.h"
 #include "control/internal/peerlink.h"
 #include "control/internal/posixfilesystem.h"
 #include "control/internal/wakeup.h"
@@ -75,7 +75,7 @@
     PosixFileSystem m_files;
     LogStorage m_storage;
     MetricsRegistry& m_metrics;
-    FailStopStorage m_failStopStorage;
+    MonitoredStorage m_monitoredStorage;
     FleetStateMachine m_machine;
     std::map<std::uint64_t, std::shared_ptr<PendingCommand>> m_pendingCommands;
     ReplicatedLog m_log;
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -60,13 +60,34 @@
     return m_role;
 }
 
+template <typename Step>
+void ReplicatedLog::runStep(Step step)
+{
+    try {
+        step();
+    } catch (const Error& error) {
+        if (error.kind() != ErrorKind::Storage)
+            throw;
+        if (m_role == ReplicaRole::Leader)
+            stepDown("its disk refuses writes");
+        // Ends a candidacy, since a vote must be durable.
+        m_role = ReplicaRole::Follower;
+        resetElectionTimeout();
+    }
+}
+
 void ReplicatedLog::tick()
+{
+    runStep([this] { checkDeadlines(); });
+}
+
+void ReplicatedLog::checkDeadlines()
 {
     if (m_role == ReplicaRole::Leader) {
-        flush();
+        flushEntries();
         updateMembership();
         if (m_clock.now() > stepDownDeadline())
-            stepDown();
+            stepDown("no majority of the controllers responds");
         return;
     }
     if (isMember() && m_clock.now() >= m_electionDeadline)
@@ -101,14 +122,22 @@
 {
     if (isBootstrapping())
         return nextDescribeRequest(peer);
-    if (m_role == ReplicaRole::Leader)
-        return nextReplicationMessage(peer);
+    if (m_role == ReplicaRole::Leader) {
+        std::optional<PeerMessage> message;
+        runStep([&] { message = nextReplicationMessage(peer); });
+        return message;
+    }
     if (m_role == ReplicaRole::PreCandidate || m_role == ReplicaRole::Candidate)
         return nextVoteRequest(peer);
     return std::nullopt;
 }
 
 void ReplicatedLog::onResponse(const std::string& peer, const PeerMessage& message, const PeerResponse& response)
+{
+    runStep([&] { processResponse(peer, message, response); });
+}
+
+void ReplicatedLog::processResponse(const std::string& peer, const PeerMessage& message, const PeerResponse& response)
 {
     if (const auto* vote = std::get_if<schema::VoteResponse>(&response))
         onVoteResponse(peer, std::get<schema::VoteRequest>(message.request), *vote);
@@ -214,6 +243,11 @@
 }
 
 void ReplicatedLog::flush()
+{
+    runStep([this] { flushEntries(); });
+}
+
+void ReplicatedLog::flushEntries()
 {
     if (m_role != ReplicaRole::Leader)
         return;
--- a/src/control/logstorage.h
+++ b/src/control/logstorage.h
@@ -2,7 +2,10 @@
 
 #include "control/ilogstorage.h"
 
+#include <cstdint>
 #include <optional>
+#include <set>
+#include <string>
 #include <string_view>
 
 namespace clementinesill {
@@ -31,12 +34,21 @@
     std::uint64_t loadOrCreateIdentity();
     std::vector<schema::LogEntry> readLog(const schema::SnapshotRecord& snapshot);
     void rewriteLog(std::span<const schema::LogEntry> entries);
-    // Replaces the file atomically.
-    void replaceFile(const char* name, std::string_view payload);
+    // Replaces the file atomically. Returns the new size in bytes.
+    std::uint64_t replaceFile(const char* name, std::string_view payload);
+    void writeTemporary(const std::string& temporary, std::string_view bytes);
+    void syncFolderIfChanged();
     std::optional<std::string> readFile(const char* name);
 
     IFileSystem& m_files;
     IRandom& m_random;
+    // Size of the log's durable records. Bytes after them belong to a write that failed.
+    std::uint64_t m_logBytes = 0;
+    bool m_logHasFailedWrite = false;
+    // A renamed file may not be durable under its new name.
+    bool m_folderChanged = false;
+    // Temporary files of writes that failed.
+    std::set<std::string> m_abandonedFiles;
 };
 
 } // namespace clementinesill::control
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -20,6 +20,9 @@
 
 // Raft-like replicated log: terms, pre-vote, randomized election timeouts, log matching, commit by a majority in the
 // current term, leader lease, snapshots, and members identified by the disk identity of their data folder.
+//
+// While the storage refuses writes, this controller acknowledges nothing and does not lead. It keeps what it has and tries
+// again with each message of a leader and each election. Requests of peers then throw Error (Storage).
 class ReplicatedLog final : public IReplicatedLog {
 public:
     // Opens the storage and restores the state machine.
@@ -60,6 +63,13 @@
         CandidateLogBehind,
     };
 
+    // Runs the step; steps down if the storage refuses a write.
+    template <typename Step>
+    void runStep(Step step);
+    void flushEntries();
+    void checkDeadlines();
+    void processResponse(const std::string& peer, const PeerMessage& message, const PeerResponse& response);
+
     // Elections.
     bool isMember() const;
     const schema::Member* member(const std::string& name) const;
@@ -93,7 +103,7 @@
     void advanceCommit();
     MonotonicTime leaseExpiry() const;
     MonotonicTime stepDownDeadline() const;
-    void stepDown();
+    void stepDown(const char* reason);
     void applyCommitted();
     void appendEntry(const std::string& command, bool membership);
 
--- a/src/control/tests/fakefilesystem.h
+++ b/src/control/tests/fakefilesystem.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "control/ifilesystem.h"
+#include "foundation/error.h"
 #include "foundation/irandom.h"
 
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <utility>
 
 // Folder in memory. Loses power at a chosen write, after which unsynced data may be lost, kept or torn.
 class FakeFileSystem final : public clementinesill::control::IFileSystem {
@@ -15,6 +17,10 @@
     // The write with this number and all later ones throw PowerLoss; 0 for never.
     std::uint64_t powerLossAt = 0;
     std::uint64_t writes = 0;
+    // While set, the disk takes no more bytes: an append writes a part and fails, and a sync fails.
+    bool full = false;
+    // The same for the writes from the first number up to the second, exclusive.
+    std::pair<std::uint64_t, std::uint64_t> refusedWrites;
 
     std::vector<std::string> list() override
     {
@@ -39,6 +45,10 @@
         if (powerLossAt && writes + 1 == powerLossAt)
             file->content.append(bytes.substr(0, bytes.size() / 2));
         countWrite();
+        if (refusesWrite()) {
+            file->content.append(bytes.substr(0, bytes.size() / 2));
+            throwFull();
+        }
         file->content.append(bytes);
     }
 
@@ -51,6 +61,8 @@
     void sync(const std::string& name) override
     {
         countWrite();
+        if (refusesWrite())
+            throwFull();
         m_names.at(name)->synced = m_names.at(name)->content;
     }
 
@@ -112,6 +124,10 @@
         file.synced = persisted;
     }
 
+    bool refusesWrite() const { return full || (writes >= refusedWrites.first && writes < refusedWrites.second); }
+
+    [[noreturn]] static void throwFull() { throw clementinesill::Error(clementinesill::ErrorKind::Storage, "the disk is full", "free space"); }
+
     void countWrite()
     {
         ++writes;
--- a/src/operators/internal/readcommands.cpp
+++ b/src/operators/internal/readcommands.cpp
@@ -54,7 +54,8 @@
     TextTable table({ "CONTROLLER", "ENDPOINT", "ROLE", "TERM", "COMMITTED", "LAST", "SNAPSHOT", "LEASE" });
     for (const auto& controller : status.controllers()) {
         table.add({ controller.id(), controller.endpoint(), controller.role(), std::to_string(controller.term()), std::to_string(controller.commit_index()),
-            std::to_string(controller.last_index()), std::to_string(controller.snapshot_index()), controller.lease_valid() ? "valid" : "-" });
+            std::to_string(controller.last_index()), std::to_string(controller.snapshot_index()), controller.lease_valid() ? "valid" : controller.storage_failing() ? "disk fails"
+                                                                                                                                                                    : "-" });
     }
     return table.render();
 }
