Conclude long searches although table versions differ, within a budget

Every open flow is dead, its next packet visits all 204 agents, and the search ended without a reset, since it was taken as incomplete if two agents on its way had different table versions: each of the 204 registrations is a new version. The caller retransmitted, and each copy visited everybody again; 3,906 requests ended at their timeouts. Above 200 servers the limit of hops ended every search. After the visited list was full, nearly each hop was between zones.

Ruled out: the controllers (0.008 cores) and the reconnects of the daemons.

Change: a traversal is complete if every agent on its way had the server that the packet was for, and no agent's table lacked a server of the last agent's table. Server ids ascend, so the packet carries the smallest of the agents' highest ids (Geneve option 0x05, not critical; daemons without it drop it and the search ends without a reset, as before). The order is by zone, then rank, and continues from the server in the packet instead of the agent's own. Hops are 16 bits wide.

A flow that nobody holds still costs one hop a server.

--- a/src/dataplane/internal/genevecodec.cpp
+++ b/src/dataplane/internal/genevecodec.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <limits>
 
 namespace clementinesill::dataplane {
 
@@ -29,6 +30,8 @@
     VisitedOption = 0x82,
     CandidatesOption = 0x83,
     HolderOption = 0x84,
+    // Not critical: without it, the search ends without a reset.
+    TraversalOption = 0x05,
 };
 
 bool readRoute(std::span<const std::byte> body, GeneveMessage& message)
@@ -43,7 +46,7 @@
         .incarnation = fields.incarnation.value(),
         .balancer = { .address = fields.balancerAddress.value(), .port = fields.balancerPort.value() },
         .ingress = { .address = fields.ingressAddress.value(), .port = fields.ingressPort.value() },
-        .hops = fields.hops.value(),
+        .hops = std::max<std::uint16_t>(fields.cappedHops.value(), fields.hops.value()),
         .flags = fields.flags.value(),
     };
     return true;
@@ -95,6 +98,14 @@
     return true;
 }
 
+bool readTraversal(std::span<const std::byte> body, GeneveMessage& message)
+{
+    if (body.size() != wordBytes)
+        return false;
+    message.newestKnownServer = reinterpret_cast<const boost::endian::big_uint32_buf_t*>(body.data())->value();
+    return true;
+}
+
 PacketError readOption(const GeneveOptionHeader& header, std::span<const std::byte> body, GeneveMessage& message)
 {
     const auto unknownOptionError = header.type.value() & criticalBit ? PacketError::UnknownCriticalOption : PacketError::None;
@@ -114,6 +125,9 @@
     case HolderOption:
         hasValidLength = readHolder(body, message);
         break;
+    case TraversalOption:
+        hasValidLength = readTraversal(body, message);
+        break;
     default:
         return unknownOptionError;
     }
@@ -160,9 +174,9 @@
     fields.ingressAddress = route.ingress.address;
     fields.balancerPort = route.balancer.port;
     fields.ingressPort = route.ingress.port;
-    fields.hops = route.hops;
+    fields.cappedHops = static_cast<std::uint8_t>(std::min<std::uint16_t>(route.hops, std::numeric_limits<std::uint8_t>::max()));
     fields.flags = route.flags;
-    fields.reserved = std::uint16_t(0);
+    fields.hops = route.hops;
 }
 
 void writeHolder(const FlowHolder& holder, std::byte*& end)
@@ -178,6 +192,11 @@
     fields.incarnation = holder.incarnation;
 }
 
+void writeTraversal(std::uint32_t newestKnownServer, std::byte*& end)
+{
+    *reinterpret_cast<boost::endian::big_uint32_buf_t*>(appendOption(end, TraversalOption, wordBytes)) = newestKnownServer;
+}
+
 // Number of entries, at most count, that fit into the free bytes together with their option header.
 std::size_t fittingEntries(std::size_t count, std::size_t entryBytes, std::size_t freeBytes)
 {
@@ -229,6 +248,7 @@
     message.visited.clear();
     message.candidates.clear();
     message.holder.reset();
+    message.newestKnownServer.reset();
     message.payload = datagram.subspan(sizeof(GeneveHeader) + optionsBytes);
     return readOptions(datagram.subspan(sizeof(GeneveHeader), optionsBytes), message);
 }
@@ -241,6 +261,8 @@
         writeRoute(*message.route, end);
     if (message.holder)
         writeHolder(*message.holder, end);
+    if (message.newestKnownServer)
+        writeTraversal(*message.newestKnownServer, end);
     const auto freeBytes = [&] { return maximumOptionsBytes - static_cast<std::size_t>(end - options); };
     if (const auto count = fittingEntries(message.visited.size(), wordBytes, freeBytes()))
         writeVisited(std::span(message.visited).first(count), end);
--- a/src/dataplane/internal/routefields.h
+++ b/src/dataplane/internal/routefields.h
@@ -14,9 +14,11 @@
     boost::endian::big_uint32_buf_t ingressAddress;
     boost::endian::big_uint16_buf_t balancerPort;
     boost::endian::big_uint16_buf_t ingressPort;
-    boost::endian::big_uint8_buf_t hops;
+    // At most 255.
+    boost::endian::big_uint8_buf_t cappedHops;
     boost::endian::big_uint8_buf_t flags;
-    boost::endian::big_uint16_buf_t reserved;
+    // 0 in packets of daemons that write only cappedHops.
+    boost::endian::big_uint16_buf_t hops;
 };
 static_assert(sizeof(RouteFields) == 36);
 
--- a/src/dataplane/tests/genevecodec.cpp
+++ b/src/dataplane/tests/genevecodec.cpp
@@ -28,9 +28,11 @@
     message.serviceId = number() & 0xffffff;
     message.control = random.below(2);
     if (random.below(4))
-        message.route = Route { .tableVersion = random.next(), .serviceId = number(), .serverId = number(), .incarnation = number(), .balancer = randomEndpoint(random), .ingress = randomEndpoint(random), .hops = 3, .flags = 5 };
+        message.route = Route { .tableVersion = random.next(), .serviceId = number(), .serverId = number(), .incarnation = number(), .balancer = randomEndpoint(random), .ingress = randomEndpoint(random), .hops = static_cast<std::uint16_t>(random.below(1 << random.below(17))), .flags = 5 };
     if (!random.below(4))
         message.holder = FlowHolder { .key = { .caller = randomEndpoint(random), .service = randomEndpoint(random), .protocol = fleet::TransportProtocol::Udp }, .serverId = number(), .incarnation = number() };
+    if (!random.below(4))
+        message.newestKnownServer = number();
     while (message.visited.size() < visited)
         message.visited.push_back(number());
     while (message.candidates.size() < candidates)
@@ -69,6 +71,7 @@
         RC_ASSERT(decodeGeneve(bytes, decoded) == PacketError::None);
         RC_ASSERT(decoded.serviceId == message.serviceId && decoded.control == message.control);
         RC_ASSERT(decoded.route == message.route && decoded.holder == message.holder);
+        RC_ASSERT(decoded.newestKnownServer == message.newestKnownServer);
         RC_ASSERT(decoded.visited == message.visited && decoded.candidates == message.candidates);
         RC_ASSERT(std::all_of(decoded.payload.begin(), decoded.payload.end(), [](auto byte) { return byte == std::byte { 9 }; }));
     }));
--- a/src/dataplane/types/genevemessage.h
+++ b/src/dataplane/types/genevemessage.h
@@ -23,6 +23,9 @@
     std::optional<Route> route;
     // Ids of the servers that the current search has visited, without the target in the route.
     boost::container::static_vector<std::uint32_t, maximumVisited> visited;
+    // For a traversal in rank order: the smallest, over the agents that have forwarded the packet, of the highest server id in
+    // their tables. Servers with higher ids may have been skipped.
+    std::optional<std::uint32_t> newestKnownServer;
     // In rank order.
     boost::container::static_vector<Candidate, maximumCandidates> candidates;
     std::optional<FlowHolder> holder;
--- a/src/dataplane/types/route.h
+++ b/src/dataplane/types/route.h
@@ -19,9 +19,8 @@
     static constexpr std::uint8_t searchEnded = 8;
     // The visited list is full, so the remaining servers are visited in rank order.
     static constexpr std::uint8_t followsRankOrder = 16;
-    // Agents with different table versions took part in the traversal in rank order, so servers that are missing in some of
-    // the tables may have been skipped.
-    static constexpr std::uint8_t mixedTables = 32;
+    // The traversal in rank order reached an agent that no longer has the server that the packet was for.
+    static constexpr std::uint8_t skippedServer = 32;
 
     // Newest table version among the balancer and the agents that forwarded the packet.
     std::uint64_t tableVersion = 0;
@@ -33,7 +32,7 @@
     // Fabric endpoint that delivered the packet; packets to the caller are sent there.
     Endpoint ingress;
     // Number of agents that forwarded the packet.
-    std::uint8_t hops = 0;
+    std::uint16_t hops = 0;
     std::uint8_t flags = 0;
 
     bool operator==(const Route&) const = default;
--- a/src/fleet/fleettable.h
+++ b/src/fleet/fleettable.h
@@ -39,6 +39,9 @@
     bool zoneOut(const std::string& zone) const;
 
     const std::vector<ServiceEntry>& services() const { return m_services; }
+    std::size_t serverCount() const { return m_servers.size(); }
+    // Highest server id in the table, 0 if there is none. Ids are assigned in ascending order.
+    std::uint32_t newestServerId() const { return m_newestServerId; }
 
     // Version of the operators' configuration document that defines the routes; 0 for none.
     std::uint64_t documentVersion() const { return m_documentVersion; }
@@ -47,6 +50,7 @@
     std::uint64_t m_version = 0;
     std::uint64_t m_hashSeed = 0;
     std::uint64_t m_documentVersion = 0;
+    std::uint32_t m_newestServerId = 0;
     std::vector<ServiceEntry> m_services;
     // Indices in m_services.
     std::unordered_map<std::uint64_t, std::size_t> m_byEndpoint;
--- a/src/passthrough/internal/packetrelay.cpp
+++ b/src/passthrough/internal/packetrelay.cpp
@@ -76,7 +76,7 @@
     }
     if (message.route->tableVersion > table->version())
         m_options.tables.recordSeenVersion(message.route->tableVersion);
-    const Search search { .route = *message.route, .visited = message.visited };
+    const Search search { .route = *message.route, .visited = message.visited, .newestKnownServer = message.newestKnownServer };
     const auto decision = m_options.router.decide(search, *packet, view(*table));
     applyDecision(decision, search, *packet, bytes);
 }
@@ -198,11 +198,12 @@
 
 void PacketRelay::forwardToAgent(const RelayDecision& decision, Search search, std::span<const std::byte> bytes)
 {
-    search.advance(decision, m_serverId, m_options.tables.table()->version());
+    search.advance(decision, m_serverId, *m_options.tables.table());
     dataplane::GeneveMessage message;
     message.serviceId = search.route.serviceId;
     message.route = search.route;
     message.visited = search.visited;
+    message.newestKnownServer = search.newestKnownServer;
     m_daemonSocket.send(message, bytes, decision.nextAgent);
 }
 
--- a/src/passthrough/internal/relaydecision.cpp
+++ b/src/passthrough/internal/relaydecision.cpp
@@ -34,6 +34,7 @@
         "table_too_old",
         "table_unconfirmed",
         "search_bounded",
+        "search_budget_spent",
         "reset_not_held",
     };
     return names.at(static_cast<std::size_t>(reason));
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -4,6 +4,7 @@
 #include "agent/types/tableview.h"
 #include "fleet/fleettable.h"
 #include "fleet/serverrank.h"
+#include "foundation/hash.h"
 #include "passthrough/coldstartlimit.h"
 #include "passthrough/flowtracker.h"
 #include "passthrough/localserver.h"
@@ -12,7 +13,9 @@
 #include "passthrough/types/search.h"
 #include "passthrough/zonerank.h"
 
-#include <utility>
+#include <compare>
+#include <optional>
+#include <span>
 
 namespace clementinesill::passthrough {
 
@@ -23,7 +26,7 @@
 constexpr int queueingDelayDivisor = 3;
 // Limits how many agents forward one packet. A hop takes about a millisecond, and the caller's retransmission starts a new
 // search.
-constexpr std::uint8_t maximumHops = 200;
+constexpr std::uint16_t maximumHops = 1500;
 
 RelayDecision drop(RelayReason reason) { return { .action = RelayAction::Drop, .reason = reason }; }
 
@@ -34,6 +37,24 @@
     return { .action = RelayAction::Forward, .reason = reason, .nextAgent = server.agent, .nextServerId = server.id, .nextIncarnation = server.incarnation, .nextServiceId = server.serviceId };
 }
 
+// Position of a server in the traversal of a flow: by zone, then by rank, the highest score first.
+class TraversalPosition {
+public:
+    TraversalPosition(std::uint64_t flowHash, const fleet::ServerEntry& server)
+        : m_zone(hash64(std::as_bytes(std::span(server.zone)), flowHash))
+        , m_rank(-fleet::rendezvousScore(flowHash, server))
+        , m_id(server.id)
+    {
+    }
+
+    auto operator<=>(const TraversalPosition&) const = default;
+
+private:
+    std::uint64_t m_zone;
+    double m_rank;
+    std::uint32_t m_id;
+};
+
 bool senderHasNewerTable(const Search& search, const agent::TableView& view)
 {
     return search.route.tableVersion > view.table.version();
@@ -43,6 +64,7 @@
 
 RelayRouter::RelayRouter(const RelayRouterOptions& options)
     : m_options(options)
+    , m_searchBudget(options.clock)
     , m_startTime(options.clock.now())
 {
 }
@@ -168,6 +190,9 @@
 {
     if (search.route.hops >= maximumHops)
         return drop(RelayReason::HopLimitReached);
+    const bool startsTraversal = search.visited.size() >= dataplane::maximumVisited && !search.followsRankOrder();
+    if (startsTraversal && !m_searchBudget.take(view.table.serverCount()))
+        return drop(RelayReason::SearchBudgetSpent);
     if (const auto* server = nextCandidateHolder(search, packet, view))
         return forwardTo(*server, reason);
     m_options.misses.recordMiss(packet.key, packet.sequence, m_options.clock.now());
@@ -203,26 +228,30 @@
     return firstSilent;
 }
 
-// Once the visited list is full, the remaining servers are visited in rank order, which each agent computes by itself. The
-// next server is the highest-ranked one below this server, or the highest-ranked one of all at the start of the traversal.
+// Once the visited list is full, the remaining servers are visited in an order that each agent computes by itself: by zone, so
+// that few hops are between zones, and by rank within a zone. The next server is the first one after the server that the
+// packet was for, or the first one of all at the start of the traversal.
 const fleet::ServerEntry* RelayRouter::nextServerInRankOrder(const Search& search, std::uint64_t flowHash, const agent::TableView& view) const
 {
-    using Rank = std::pair<double, std::uint32_t>;
-    const auto rankOf = [&](const fleet::ServerEntry& server) { return Rank(fleet::rendezvousScore(flowHash, server), server.id); };
-    const auto* self = view.table.server(m_serverId);
-    if (search.followsRankOrder() && !self)
+    const auto* current = view.table.server(search.route.serverId);
+    if (search.followsRankOrder() && !current)
         return nullptr;
-    const fleet::ServerEntry* best = nullptr;
+    std::optional<TraversalPosition> currentPosition;
+    if (search.followsRankOrder())
+        currentPosition.emplace(flowHash, *current);
+    const fleet::ServerEntry* next = nullptr;
+    std::optional<TraversalPosition> nextPosition;
     for (const auto& service : view.table.services()) {
         for (const auto& server : service.servers) {
-            const bool alreadyVisited = search.followsRankOrder() && rankOf(server) >= rankOf(*self);
-            if (server.id == m_serverId || alreadyVisited || search.hasVisited(server.id))
+            const TraversalPosition position(flowHash, server);
+            const bool alreadyVisited = currentPosition && position <= *currentPosition;
+            if (server.id == m_serverId || alreadyVisited || search.hasVisited(server.id) || (nextPosition && position >= *nextPosition))
                 continue;
-            if (!best || rankOf(server) > rankOf(*best))
-                best = &server;
+            next = &server;
+            nextPosition = position;
         }
     }
-    return best;
+    return next;
 }
 
 // A reset would close a live flow if the server that holds it was not visited, so every case in which a server may have been
@@ -233,10 +262,8 @@
         return drop(RelayReason::ResetForUnknownFlow);
     if (senderHasNewerTable(search, view))
         return drop(RelayReason::TableStale);
-    // Servers visited in rank order are not listed in the packet. The traversal is known to be complete only if all agents had
-    // the same table.
-    const bool mixedTables = (search.route.flags & dataplane::Route::mixedTables) || view.table.version() != search.route.tableVersion;
-    if (search.followsRankOrder() && mixedTables)
+    // Servers visited in rank order are not listed in the packet.
+    if (search.followsRankOrder() && !search.hasVisitedAll(view.table, m_serverId))
         return drop(RelayReason::TableStale);
     const auto firstMiss = m_options.misses.recordMiss(packet.key, packet.sequence, m_options.clock.now());
     if (view.confirmedAt <= firstMiss || nextCandidateHolder(search, packet, view))
--- a/src/passthrough/internal/search.cpp
+++ b/src/passthrough/internal/search.cpp
@@ -1,5 +1,6 @@
 #include "passthrough/types/search.h"
 
+#include "fleet/fleettable.h"
 #include "passthrough/types/relaydecision.h"
 
 #include <algorithm>
@@ -11,11 +12,20 @@
     return std::find(visited.begin(), visited.end(), serverId) != visited.end();
 }
 
-void Search::advance(const RelayDecision& decision, std::uint32_t serverId, std::uint64_t tableVersion)
+bool Search::hasVisitedAll(const fleet::FleetTable& table, std::uint32_t serverId) const
+{
+    return reachedTarget(serverId) && newestKnownServer && table.newestServerId() <= *newestKnownServer;
+}
+
+void Search::advance(const RelayDecision& decision, std::uint32_t serverId, const fleet::FleetTable& table)
 {
     if (visited.size() == visited.capacity()) {
-        if (followsRankOrder() && tableVersion != route.tableVersion)
-            route.flags |= dataplane::Route::mixedTables;
+        if (followsRankOrder() && !reachedTarget(serverId))
+            route.flags |= dataplane::Route::skippedServer;
+        if (!followsRankOrder())
+            newestKnownServer = table.newestServerId();
+        else if (newestKnownServer)
+            newestKnownServer = std::min(*newestKnownServer, table.newestServerId());
         route.flags |= dataplane::Route::followsRankOrder;
     } else if (serverId) {
         visited.push_back(serverId);
@@ -24,7 +34,7 @@
     route.serverId = decision.nextServerId;
     route.incarnation = decision.nextIncarnation;
     route.flags |= dataplane::Route::forwardedByAgent;
-    route.tableVersion = std::max(route.tableVersion, tableVersion);
+    route.tableVersion = std::max(route.tableVersion, table.version());
     ++route.hops;
 }
 
--- a/src/passthrough/relayrouter.h
+++ b/src/passthrough/relayrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foundation/iclock.h"
+#include "passthrough/searchbudget.h"
 #include "passthrough/types/relaydecision.h"
 #include "passthrough/types/relayrouteroptions.h"
 
@@ -57,6 +58,7 @@
     const fleet::ServerEntry* nextCandidateHolder(const Search& search, const FlowPacket& packet, const agent::TableView& view) const;
 
     RelayRouterOptions m_options;
+    SearchBudget m_searchBudget;
     MonotonicTime m_startTime;
     std::uint32_t m_serverId = 0;
     std::uint32_t m_serviceId = 0;
--- a/src/passthrough/tests/restartsimulation.cpp
+++ b/src/passthrough/tests/restartsimulation.cpp
@@ -146,7 +146,7 @@
         startRequest(node, request, packet.key.caller.port);
         return;
     case RelayAction::Forward:
-        search.advance(decision, node.id, m_table->version());
+        search.advance(decision, node.id, *m_table);
         schedule(m_clock.now() + linkDelay, [this, search, request, packet] { onPacketArrival(search, request, packet); });
         return;
     case RelayAction::Reset:
--- a/src/passthrough/types/relaydecision.h
+++ b/src/passthrough/types/relaydecision.h
@@ -48,15 +48,17 @@
     // The server that holds the flow is silent and presumed dead.
     ServerDead,
     NoRoute,
-    // The sender has a newer table, or agents with different tables forwarded the packet, so a server may have been missed.
+    // The sender has a newer table, or agents whose tables lack a server forwarded the packet, so it may have been missed.
     TableStale,
     // The leader has not confirmed the table since the flow was first not found, or a server in it was not visited.
     TableUnconfirmed,
     HopLimitReached,
+    // This agent has started as many long searches as its budget allows.
+    SearchBudgetSpent,
     // A caller's reset for a flow that is not held; it must not trigger another reset.
     ResetForUnknownFlow,
 };
-constexpr std::size_t relayReasonCount = 22;
+constexpr std::size_t relayReasonCount = 23;
 
 std::string_view name(RelayAction action);
 std::string_view name(RelayReason reason);
