Name each changed setting on SIGHUP, and apply the seeds

Cause: SIGHUP logged "settings other than log.level have changed" without saying which, also when only the seeds had changed, which do take effect (the file is read again for them).

Change: log.level and discovery.seeds take effect and are logged as setting_applied; each other changed setting keeps its value and is logged as settings_need_restart with its path, old and new value. A file with an error changes nothing, as before.

Tests: Settings.NamesEachChangedSettingWithBothValues; Daemon's test of SIGHUP checks the lines.

--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -11,6 +11,7 @@
 #include "foundation/systemclock.h"
 #include "foundation/version.h"
 #include "operators/settings.h"
+#include "operators/settingschange.h"
 #include "operators/types/exitcode.h"
 #include "passthrough/passthroughmodules.h"
 #include "platform/platform.h"
@@ -22,11 +23,11 @@
 #include <cxxopts.hpp>
 #include <exception>
 #include <execinfo.h>
-#include <google/protobuf/util/message_differencer.h>
 #include <iostream>
 #include <span>
 #include <sstream>
 #include <unistd.h>
+#include <vector>
 
 using namespace clementinesill;
 using operators::ExitCode;
@@ -92,24 +93,29 @@
     metrics.addGauge("log_lines", { { "outcome", "lost" } }, [] { return static_cast<double>(logCounts().lost); });
 }
 
-// Applies a changed log level. Any other change takes effect only after a restart; a warning in the log reports it.
-void reloadSettings(const std::string& path, schema::DaemonSettings settings)
+// Applies the changed settings that need no restart, and logs each other one, which keeps its value. A file with an error
+// changes nothing.
+void reloadSettings(const std::string& path, schema::DaemonSettings& settings)
 {
     try {
-        auto changed = operators::loadDaemonSettings(path);
-        setLogLevel(parseLogLevel(changed.log().level()));
-        changed.mutable_log()->clear_level();
-        settings.mutable_log()->clear_level();
-        log(LogLevel::Info, "settings_reloaded", { { .key = logkey::version, .value = std::string(programVersion) }, { .key = "settings", .value = settingsDigest(changed) } });
-        if (!google::protobuf::util::MessageDifferencer::Equals(changed, settings))
-            log(LogLevel::Warn, "settings_need_restart", { { logkey::reason, "settings other than log.level have changed" }, { logkey::remedy, "restart the daemon" } });
+        const auto file = operators::loadDaemonSettings(path);
+        const auto changes = operators::changedSettings(settings, file);
+        operators::copyReloadableSettings(file, settings);
+        setLogLevel(parseLogLevel(settings.log().level()));
+        for (const auto& change : changes) {
+            if (change.reloadable)
+                log(LogLevel::Info, "setting_applied", { { .key = "setting", .value = change.setting }, { .key = "old", .value = change.oldValue }, { .key = "new", .value = change.newValue } });
+            else
+                log(LogLevel::Warn, "settings_need_restart", { { .key = "setting", .value = change.setting }, { .key = "old", .value = change.oldValue }, { .key = "new", .value = change.newValue }, { .key = logkey::remedy, .value = "restart the daemon" } });
+        }
+        log(LogLevel::Info, "settings_reloaded", { { .key = logkey::version, .value = std::string(programVersion) }, { .key = "settings", .value = settingsDigest(settings) } });
     } catch (const Error& error) {
         log(LogLevel::Error, "settings_refused", { { logkey::reason, error.problem() }, { logkey::remedy, error.remedy() } });
     }
 }
 
 // Reloads the settings on SIGHUP; returns on SIGTERM or SIGINT.
-void waitForShutdownSignal(const sigset_t& signals, const std::string& path, const schema::DaemonSettings& settings)
+void waitForShutdownSignal(const sigset_t& signals, const std::string& path, schema::DaemonSettings settings)
 {
     int signal = 0;
     while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
@@ -206,7 +212,8 @@
 int runCommandLine(int argc, char** argv)
 {
     cxxopts::Options options("clementinesilld", "Daemon of the clementinesill load balancer; the settings select its role.\n\n"
-                                                "SIGTERM and SIGINT drain and stop it; SIGHUP reloads log.level.\n"
+                                                "SIGTERM and SIGINT drain and stop it; SIGHUP reloads log.level and\n"
+                                                "discovery.seeds.\n"
                                                 "Exit codes: 0 stopped after draining, or settings valid; 1 failed; 2 invalid command line;\n"
                                                 "3 invalid settings; 5 no controller reachable.\n");
     options.add_options()("check", "check the settings and exit")("h,help", "print this help")("settings", "settings file", cxxopts::value<std::string>());
--- a/src/app/tests/daemon.cpp
+++ b/src/app/tests/daemon.cpp
@@ -170,9 +170,11 @@
     CHECK_TRUE_TEXT(waitFor(isReady), readFile(folder + "/stderr").c_str());
     writeSettings("debug");
     reloadAndExpectEvent("settings_reloaded");
-    CHECK(!logContains("settings_need_restart"));
+    CHECK(logText().find(R"("event":"setting_applied","setting":"log.level","old":"\"info\"","new":"\"debug\"")") != std::string::npos);
+    CHECK_TRUE_TEXT(!logContains("settings_need_restart"), logText().c_str());
     writeSettings("debug", 4000);
     reloadAndExpectEvent("settings_need_restart");
+    CHECK(logText().find(R"("setting":"controller.serverLeaseMs","old":"3000","new":"4000")") != std::string::npos);
     writeSettings("loud");
     reloadAndExpectEvent("settings_refused");
     CHECK(isReady());
--- a/src/operators/tests/settings.cpp
+++ b/src/operators/tests/settings.cpp
@@ -1,10 +1,12 @@
 #include "operators/settings.h"
 
 #include "operators/configerror.h"
+#include "operators/settingschange.h"
 
 #include <CppUTest/TestHarness.h>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
@@ -179,3 +181,31 @@
     text.insert(1, std::string("\"admin\":{\"endpoint\":\"") + usedEndpoint + "\"},");
     CHECK(errorOf(text, { .probeListenAddresses = true })->fault() == ConfigFault::AddressInUse);
 }
+
+TEST(Settings, NamesEachChangedSettingWithBothValues)
+{
+    schema::DaemonSettings running;
+    running.mutable_log()->set_level("info");
+    running.mutable_discovery()->add_seeds("10.0.0.1:8166");
+    running.mutable_agent()->mutable_pass_through()->set_heartbeat_ms(770);
+    auto file = running;
+    CHECK(operators::changedSettings(running, file).empty());
+    file.mutable_log()->set_level("debug");
+    file.mutable_discovery()->set_seeds(0, "10.0.0.2:8166");
+    file.mutable_agent()->mutable_pass_through()->set_heartbeat_ms(500);
+    file.mutable_admin()->set_endpoint("127.0.0.1:9464");
+    std::map<std::string, operators::SettingChange> changes;
+    for (const auto& change : operators::changedSettings(running, file))
+        changes[change.setting] = change;
+    LONGS_EQUAL(4, changes.size());
+    CHECK(changes["log.level"].reloadable && changes["discovery.seeds"].reloadable);
+    CHECK(!changes["agent.passThrough.heartbeatMs"].reloadable && !changes["admin"].reloadable);
+    STRCMP_EQUAL("770", changes["agent.passThrough.heartbeatMs"].oldValue.c_str());
+    STRCMP_EQUAL("500", changes["agent.passThrough.heartbeatMs"].newValue.c_str());
+
+    operators::copyReloadableSettings(file, running);
+    const auto remaining = operators::changedSettings(running, file);
+    LONGS_EQUAL(2, remaining.size());
+    for (const auto& change : remaining)
+        CHECK(!change.reloadable);
+}
