Let an agent that stops early find out whether its server has ended

Change: an agent that stops before the first heartbeat asks its server's port; a closed port shows that the server has ended. It also looks at the newest table first, which may have arrived in the same moment. The traversal leaves out silent servers, whose agents are most likely gone, and a search that has left one out sends no reset.

Existing checks of presumedEnded got a port that is closed where heartbeats have to decide.

--- a/src/dataplane/types/route.h
+++ b/src/dataplane/types/route.h
@@ -19,7 +19,8 @@
     static constexpr std::uint8_t searchEnded = 8;
     // The visited list is full, so the remaining servers are visited in rank order.
     static constexpr std::uint8_t followsRankOrder = 16;
-    // The traversal in rank order reached an agent that no longer has the server that the packet was for.
+    // The traversal in rank order reached an agent that no longer has the server that the packet was for, or left out a silent
+    // server.
     static constexpr std::uint8_t skippedServer = 32;
 
     // Newest table version among the balancer and the agents that forwarded the packet.
--- a/src/fleet/fleettable.h
+++ b/src/fleet/fleettable.h
@@ -42,6 +42,7 @@
     std::size_t serverCount() const { return m_servers.size(); }
     // Highest server id in the table, 0 if there is none. Ids are assigned in ascending order.
     std::uint32_t newestServerId() const { return m_newestServerId; }
+    bool hasSilentServer() const { return m_hasSilentServer; }
 
     // Version of the operators' configuration document that defines the routes; 0 for none.
     std::uint64_t documentVersion() const { return m_documentVersion; }
@@ -51,6 +52,7 @@
     std::uint64_t m_hashSeed = 0;
     std::uint64_t m_documentVersion = 0;
     std::uint32_t m_newestServerId = 0;
+    bool m_hasSilentServer = false;
     std::vector<ServiceEntry> m_services;
     // Indices in m_services.
     std::unordered_map<std::uint64_t, std::size_t> m_byEndpoint;
--- a/src/fleet/internal/fleettable.cpp
+++ b/src/fleet/internal/fleettable.cpp
@@ -82,6 +82,7 @@
         if (found == m_byId.end())
             throw Error(ErrorKind::Malformed, "server " + std::to_string(record.id()) + " belongs to no service of the table", "report this as a bug; the daemon keeps its current table");
         m_newestServerId = std::max(m_newestServerId, record.id());
+        m_hasSilentServer = m_hasSilentServer || record.state() == schema::SERVER_STATE_SILENT;
         m_services[found->second].servers.push_back({
             .id = record.id(),
             .incarnation = record.incarnation(),
--- a/src/passthrough/internal/localserver.cpp
+++ b/src/passthrough/internal/localserver.cpp
@@ -40,12 +40,12 @@
     recordServerActivity();
 }
 
-bool LocalServer::presumedEnded() const
+bool LocalServer::presumedEnded(const std::function<bool()>& refusesConnections) const
 {
     const auto elapsed = m_clock.now() - m_lastHeartbeat;
     if (m_heartbeat)
         return m_shutDown || elapsed > presumedEndedIntervals * m_heartbeatInterval;
-    return m_heartbeatExpected && elapsed > presumedEndedIntervalsBeforeFirst * m_heartbeatInterval;
+    return m_heartbeatExpected && (elapsed > presumedEndedIntervalsBeforeFirst * m_heartbeatInterval || refusesConnections());
 }
 
 bool LocalServer::markShutDown(const std::string& name)
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -9,6 +9,7 @@
 #include "foundation/log.h"
 #include "foundation/metrics.h"
 #include "foundation/systemclock.h"
+#include "net/connectionprobe.h"
 #include "net/ilistener.h"
 #include "passthrough/coldstartlimit.h"
 #include "passthrough/flowtracker.h"
@@ -58,6 +59,7 @@
         : m_zone(settings.zone())
         , m_service(settings.agent().service())
         , m_endpoint(parseEndpoint(settings.agent().pass_through().packet_endpoint()))
+        , m_serverEndpoint(parseEndpoint(settings.agent().server_endpoint()))
         , m_settings(settings.agent().pass_through())
         , m_fleet(fleet)
         , m_metrics(metrics)
@@ -68,7 +70,7 @@
         , m_coldStartLimit(m_clock, { .factor = m_settings.cold_factor(), .extraFlows = m_settings.cold_extra_flows() })
         , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .responseStarted = [this](const auto& flow, auto elapsed) { recordResponseTime(flow, elapsed); } })
         , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .coldStartLimit = m_coldStartLimit, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()) })
-        , m_relay(m_loop, { .daemonEndpoint = parseEndpoint(m_settings.packet_endpoint()), .serverPacketEndpoint = parseEndpoint(m_settings.server_packets_endpoint()), .serverEndpoint = parseEndpoint(settings.agent().server_endpoint()), .format = format, .router = m_router, .flows = m_flows, .load = m_load, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .onTableChanged = [this](const auto& table) { onTableChanged(table); }, .requestConfirmation = [this] { m_registrar->requestRenewal(); }, .clock = m_clock })
+        , m_relay(m_loop, { .daemonEndpoint = parseEndpoint(m_settings.packet_endpoint()), .serverPacketEndpoint = parseEndpoint(m_settings.server_packets_endpoint()), .serverEndpoint = m_serverEndpoint, .format = format, .router = m_router, .flows = m_flows, .load = m_load, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .onTableChanged = [this](const auto& table) { onTableChanged(table); }, .requestConfirmation = [this] { m_registrar->requestRenewal(); }, .clock = m_clock })
     {
     }
 
@@ -119,8 +121,10 @@
     // shutdown, deregisters it, because searches would visit this agent until the lease expires.
     void deregisterEndedServer()
     {
+        // The table may have arrived since the loop last looked at it.
+        updateServerFromTable(*m_fleet.tables().table());
         const auto& registration = m_registration.serverId ? m_registration : m_adoptedRegistration;
-        if (!registration.serverId || !m_server.presumedEnded())
+        if (!registration.serverId || !m_server.presumedEnded([this] { return net::refusesConnections(m_serverEndpoint); }))
             return;
         log(LogLevel::Info, "server_ended_before_agent", { { .key = logkey::server, .value = std::to_string(registration.serverId) } });
         try {
@@ -269,6 +273,7 @@
     const std::string m_zone;
     const std::string m_service;
     const Endpoint m_endpoint;
+    const Endpoint m_serverEndpoint;
     const schema::PassThroughSettings m_settings;
     fleet::IFleetClient& m_fleet;
     MetricsRegistry& m_metrics;
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -230,7 +230,8 @@
 
 // Once the visited list is full, the remaining servers are visited in an order that each agent computes by itself: by zone, so
 // that few hops are between zones, and by rank within a zone. The next server is the first one after the server that the
-// packet was for, or the first one of all at the start of the traversal.
+// packet was for, or the first one of all at the start of the traversal. Silent servers are left out, since a search ends at an
+// agent that is gone; a search that has left one out sends no reset.
 const fleet::ServerEntry* RelayRouter::nextServerInRankOrder(const Search& search, std::uint64_t flowHash, const agent::TableView& view) const
 {
     const auto* current = view.table.server(search.route.serverId);
@@ -245,7 +246,7 @@
         for (const auto& server : service.servers) {
             const TraversalPosition position(flowHash, server);
             const bool alreadyVisited = currentPosition && position <= *currentPosition;
-            if (server.id == m_serverId || alreadyVisited || search.hasVisited(server.id) || (nextPosition && position >= *nextPosition))
+            if (server.id == m_serverId || server.silent || alreadyVisited || search.hasVisited(server.id) || (nextPosition && position >= *nextPosition))
                 continue;
             next = &server;
             nextPosition = position;
--- a/src/passthrough/internal/search.cpp
+++ b/src/passthrough/internal/search.cpp
@@ -14,13 +14,13 @@
 
 bool Search::hasVisitedAll(const fleet::FleetTable& table, std::uint32_t serverId) const
 {
-    return reachedTarget(serverId) && newestKnownServer && table.newestServerId() <= *newestKnownServer;
+    return reachedTarget(serverId) && !table.hasSilentServer() && newestKnownServer && table.newestServerId() <= *newestKnownServer;
 }
 
 void Search::advance(const RelayDecision& decision, std::uint32_t serverId, const fleet::FleetTable& table)
 {
     if (visited.size() == visited.capacity()) {
-        if (followsRankOrder() && !reachedTarget(serverId))
+        if ((followsRankOrder() && !reachedTarget(serverId)) || table.hasSilentServer())
             route.flags |= dataplane::Route::skippedServer;
         if (!followsRankOrder())
             newestKnownServer = table.newestServerId();
--- a/src/passthrough/localserver.h
+++ b/src/passthrough/localserver.h
@@ -3,6 +3,7 @@
 #include "foundation/iclock.h"
 #include "passthrough/types/serverheartbeat.h"
 
+#include <functional>
 #include <optional>
 
 namespace clementinesill::passthrough {
@@ -47,8 +48,10 @@
     bool silent() const { return (m_heartbeat || m_heartbeatExpected) && m_clock.now() - m_lastActivity > maximumMissedHeartbeats * m_heartbeatInterval; }
 
     // Whether the server has reported its shutdown, or has missed so many heartbeats that it is presumed to have ended; checked
-    // when the agent shuts down.
-    bool presumedEnded() const;
+    // when the agent shuts down. An agent that is stopped before the first heartbeat cannot tell from heartbeats, so it calls
+    // refusesConnections, which returns whether the server's port is closed: a running server accepts connections for its
+    // health check.
+    bool presumedEnded(const std::function<bool()>& refusesConnections) const;
 
     bool hasHeartbeat() const { return m_heartbeat.has_value(); }
     bool draining() const { return m_heartbeat && m_heartbeat->draining; }
--- a/src/passthrough/tests/largesearch.cpp
+++ b/src/passthrough/tests/largesearch.cpp
@@ -18,8 +18,8 @@
 
 std::string zoneOf(std::uint32_t serverId) { return "zone-" + std::to_string(serverId % 3); }
 
-// Returns a table without the server with the id in `without`.
-std::shared_ptr<const fleet::FleetTable> largeTable(std::uint64_t version = 10, std::uint32_t without = 0)
+// Returns a table without the server with the id in `without`, in which the server with the id in `silent` is silent.
+std::shared_ptr<const fleet::FleetTable> largeTable(std::uint64_t version = 10, std::uint32_t without = 0, std::uint32_t silent = 0)
 {
     TestTable tables;
     auto& table = tables.table();
@@ -34,7 +34,7 @@
         server.set_service_id(id % 5 ? deskService : galleryService);
         server.set_zone(zoneOf(id));
         server.set_agent_endpoint("10.0.0." + std::to_string(id) + ":8172");
-        server.set_state(schema::SERVER_STATE_ACTIVE);
+        server.set_state(id == silent ? schema::SERVER_STATE_SILENT : schema::SERVER_STATE_ACTIVE);
     }
     return tables.build();
 }
@@ -148,6 +148,23 @@
     }));
 }
 
+// The agent of a silent server is most likely gone, so that the search would end there and find no holder behind it.
+TEST(LargeSearch, TraversalLeavesOutSilentServerAndSendsNoReset)
+{
+    CHECK(rc::check("one server is silent in the tables of all or some agents", [](std::uint16_t port) {
+        const auto silent = *rc::gen::inRange<std::uint32_t>(1, serverCount + 1);
+        const auto divisor = *rc::gen::inRange<std::uint32_t>(1, 8);
+        const auto table = largeTable();
+        const auto silentTable = largeTable(10, 0, silent);
+        const auto firstServer = 1 + (silent + port % (serverCount - 1)) % serverCount;
+        const auto trace = traceSearch(
+            firstServer, port, *table, [&](auto id) -> auto& { return id % divisor ? *table : *silentTable; });
+        const std::set<std::uint32_t> distinct(trace.visited.begin(), trace.visited.end());
+        RC_ASSERT(distinct.size() >= serverCount - 1);
+        RC_ASSERT(trace.endReason != RelayReason::HolderNotFound || visits(trace, silent));
+    }));
+}
+
 TEST(LargeSearch, TraversalCrossesZonesOnceEach)
 {
     const auto table = largeTable();
--- a/src/passthrough/tests/localserver.cpp
+++ b/src/passthrough/tests/localserver.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::chrono::milliseconds heartbeatInterval { 770 };
 
+bool portOpen() { return false; }
+bool portClosed() { return true; }
+
 } // namespace
 
 // clang-format off
@@ -97,26 +100,37 @@
     server.expectHeartbeat();
     CHECK_FALSE(server.silent());
     clock.advance(2 * heartbeatInterval);
-    CHECK(server.presumedEnded());
+    CHECK(server.presumedEnded(portOpen));
     clock.advance(2 * heartbeatInterval);
     CHECK(server.silent());
     server.applyHeartbeat(makeHeartbeat("i-1", 100, 1));
     CHECK_FALSE(server.silent());
-    CHECK_FALSE(server.presumedEnded());
+    CHECK_FALSE(server.presumedEnded(portOpen));
 }
 
 TEST(LocalServer, PresumesServerEndedOnlyWithoutHeartbeats)
 {
-    CHECK_FALSE(server.presumedEnded());
+    CHECK_FALSE(server.presumedEnded(portClosed));
     server.applyHeartbeat(makeHeartbeat("i-1", 100, 1));
     clock.advance(2 * heartbeatInterval);
-    CHECK_FALSE(server.presumedEnded());
+    CHECK_FALSE(server.presumedEnded(portClosed));
     // A server that still sends packets but no heartbeats is shutting down.
     clock.advance(heartbeatInterval);
     server.recordServerActivity();
-    CHECK(server.presumedEnded());
+    CHECK(server.presumedEnded(portClosed));
     server.applyHeartbeat(makeHeartbeat("i-1", 100, 2));
-    CHECK_FALSE(server.presumedEnded());
+    CHECK_FALSE(server.presumedEnded(portClosed));
     server.markShutDown("i-1");
-    CHECK(server.presumedEnded());
+    CHECK(server.presumedEnded(portClosed));
+}
+
+// After the loss of all power an agent may be stopped within a second of its start. While its entry stayed in the table,
+// searches ended there for up to 15 s.
+TEST(LocalServer, ServerWithClosedPortHasEndedIfAgentStopsBeforeFirstHeartbeat)
+{
+    CHECK_FALSE(server.presumedEnded(portClosed));
+    server.expectHeartbeat();
+    // Only the agent was restarted: the server still runs.
+    CHECK_FALSE(server.presumedEnded(portOpen));
+    CHECK(server.presumedEnded(portClosed));
 }
