Keep daemons of earlier versions from concluding a traversal by zones

Cause: found when reading the change again. The traversal now goes by zone before rank. A daemon of the version before goes by rank alone; it could take its own last rank for the end and reset a flow whose server was not visited.

Change: the flag by which earlier versions mark mixed tables is always set, so that they drop the packet at the end; a skipped server has a flag of its own. A packet that an earlier version forwarded has lost its traversal option and is not concluded here either.

Tests: LargeSearch, TraversalTellsEarlierVersionsNotToReset and NeverResetsFlowThatEarlierVersionForwarded. Not run: a rolling upgrade with more than 30 servers.

--- a/src/dataplane/types/route.h
+++ b/src/dataplane/types/route.h
@@ -19,9 +19,12 @@
     static constexpr std::uint8_t searchEnded = 8;
     // The visited list is full, so the remaining servers are visited in rank order.
     static constexpr std::uint8_t followsRankOrder = 16;
+    // Set with followsRankOrder: the traversal goes by zone before rank. Daemons of earlier versions, which go by rank alone, send
+    // no reset at the end of a traversal with this flag.
+    static constexpr std::uint8_t zonesFirst = 32;
     // The traversal in rank order reached an agent that no longer has the server that the packet was for, or left out a silent
     // server.
-    static constexpr std::uint8_t skippedServer = 32;
+    static constexpr std::uint8_t skippedServer = 64;
 
     // Newest table version among the balancer and the agents that forwarded the packet.
     std::uint64_t tableVersion = 0;
--- a/src/passthrough/internal/search.cpp
+++ b/src/passthrough/internal/search.cpp
@@ -26,7 +26,7 @@
             newestKnownServer = table.newestServerId();
         else if (newestKnownServer)
             newestKnownServer = std::min(*newestKnownServer, table.newestServerId());
-        route.flags |= dataplane::Route::followsRankOrder;
+        route.flags |= dataplane::Route::followsRankOrder | dataplane::Route::zonesFirst;
     } else if (serverId) {
         visited.push_back(serverId);
     }
--- a/src/passthrough/tests/largesearch.cpp
+++ b/src/passthrough/tests/largesearch.cpp
@@ -165,6 +165,35 @@
     }));
 }
 
+// Daemons of earlier versions go by rank alone, so that they would conclude the search before all servers were visited.
+TEST(LargeSearch, TraversalTellsEarlierVersionsNotToReset)
+{
+    constexpr std::uint8_t mixedTablesOfEarlierVersions = 32;
+    const auto table = largeTable();
+    Search search;
+    while (search.visited.size() < dataplane::maximumVisited)
+        search.advance({}, 1, *table);
+    LONGS_EQUAL(0, search.route.flags & mixedTablesOfEarlierVersions);
+    search.advance({}, 1, *table);
+    CHECK(search.route.flags & mixedTablesOfEarlierVersions);
+}
+
+// An agent of an earlier version forwards the packet without the traversal option.
+TEST(LargeSearch, NeverResetsFlowThatEarlierVersionForwarded)
+{
+    const auto table = largeTable();
+    Search search;
+    while (!search.followsRankOrder())
+        search.advance({}, 1, *table);
+    search.route.serverId = 1;
+    CHECK(search.hasVisitedAll(*table, 1));
+    search.newestKnownServer.reset();
+    CHECK_FALSE(search.hasVisitedAll(*table, 1));
+    search.advance({}, 1, *table);
+    search.route.serverId = 2;
+    CHECK_FALSE(search.hasVisitedAll(*table, 2));
+}
+
 TEST(LargeSearch, TraversalCrossesZonesOnceEach)
 {
     const auto table = largeTable();
