Describe overload handling, and add its interfaces and settings

Under a burst, nothing is rejected before the entry link, and no decision uses the priority of a route; docs/hard-load.md describes the load, the requirements and the parts. Adds the interfaces that the parts share: AdmissionQueue, LoadNotice and OverloadSettings. No behaviour changes yet: the admission queue has no implementation and no daemon reads the settings.

--- a/src/dataplane/types/genevemessage.h
+++ b/src/dataplane/types/genevemessage.h
@@ -2,6 +2,7 @@
 
 #include "dataplane/types/candidate.h"
 #include "dataplane/types/flowholder.h"
+#include "dataplane/types/loadnotice.h"
 #include "dataplane/types/route.h"
 
 #include <boost/container/static_vector.hpp>
@@ -29,6 +30,7 @@
     // In rank order.
     boost::container::static_vector<Candidate, maximumCandidates> candidates;
     std::optional<FlowHolder> holder;
+    std::optional<LoadNotice> loadNotice;
     // The encapsulated IPv4 packet.
     std::span<const std::byte> payload;
 };
