--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -47,6 +47,9 @@
         QueueTraits traits;
     };
 
+    static bool goesBefore(const Entry& left, const Entry& right, MonotonicTime now);
+    void sort(MonotonicTime now);
+
     AdmissionQueueOptions m_options;
     const IClock& m_clock;
     std::vector<Entry> m_entries;
