Keep the order of the admission queue in its rejections, and test it

Cause: a rejected push could still displace waiting requests, an expired request could be popped and counted as ahead of others, a request without time to wait counted as aged on arrival, and an estimate of 'never' overflowed. Change: push displaces only requests behind the added one and changes nothing if it rejects; expired requests go last and are returned only by takeExpired or as displaced; work is compared in microseconds, so that times below 1 ms differ. pop returns no id if only expired requests are left. The event loop of the overload model moved to EventSimulation, which both models use.

--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -19,13 +19,16 @@
     AdmissionQueue(const AdmissionQueueOptions& options, const IClock& clock);
 
     // Adds a request. readyIn is the time until the next slot becomes free, timePerStart the mean time between two slots
-    // becoming free. A request that could not leave the queue by its latestStart is rejected.
+    // becoming free. A request that could not leave the queue by its latestStart, or that would be behind maximumLength others,
+    // is rejected; the queue then stays as it was. Displaces only requests that come after the added one in the order: those
+    // that no longer fit or could no longer start in time.
     QueuePushResult push(const QueueTraits& traits, Duration readyIn, Duration timePerStart);
 
-    // Removes the request that is admitted next and returns its id; nullopt if the queue is empty.
+    // Removes the request that is admitted next and returns its id; nullopt if the queue is empty or holds only requests past
+    // their latestStart.
     std::optional<std::uint64_t> pop();
 
-    // Removes the requests whose latestStart has passed and returns their ids.
+    // Removes the requests whose latestStart has been reached and returns their ids.
     std::vector<std::uint64_t> takeExpired();
 
     // The earliest latestStart of a waiting request; nullopt if the queue is empty.
--- a/src/admission/internal/admissionqueue.cpp
+++ b/src/admission/internal/admissionqueue.cpp
@@ -11,10 +11,15 @@
 // A request that has waited this part of its maximum wait counts one priority level higher, so that a steady load of a
 // higher priority does not shut out a lower one for good.
 constexpr int agingDivisor = 2;
+// Upper bound of the callers' estimates; it prevents an overflow when a caller passes "never".
+constexpr Duration maximumEstimate = std::chrono::hours(1);
+
+bool isExpired(const QueueTraits& traits, MonotonicTime now) { return now > traits.latestStart; }
 
 std::int64_t effectivePriority(const QueueTraits& traits, MonotonicTime enqueuedAt, MonotonicTime now)
 {
-    const bool aged = now - enqueuedAt >= (traits.latestStart - enqueuedAt) / agingDivisor;
+    const auto waited = now - enqueuedAt;
+    const bool aged = waited > Duration::zero() && waited >= (traits.latestStart - enqueuedAt) / agingDivisor;
     return static_cast<std::int64_t>(traits.priority) - (aged ? 1 : 0);
 }
 
@@ -23,8 +28,13 @@
 // Work in powers of two, so that the noise of a measurement does not change the order.
 int workMagnitude(const QueueTraits& traits)
 {
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(traits.expectedWork).count();
-    return std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(milliseconds, 0)));
+    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(traits.expectedWork).count();
+    return std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(microseconds, 0)));
+}
+
+Duration waitBehind(std::int64_t ahead, Duration readyIn, Duration timePerStart)
+{
+    return std::clamp(readyIn, Duration::zero(), maximumEstimate) + ahead * std::clamp(timePerStart, Duration::zero(), maximumEstimate);
 }
 
 } // namespace
@@ -38,7 +48,8 @@
 bool AdmissionQueue::goesBefore(const Entry& left, const Entry& right, MonotonicTime now)
 {
     const auto key = [now](const Entry& entry) {
-        return std::tuple(effectivePriority(entry.traits, entry.enqueuedAt, now), missesTarget(entry.traits, now), workMagnitude(entry.traits), entry.traits.targetTime, entry.id);
+        // An expired request takes no place from others until takeExpired returns it.
+        return std::tuple(isExpired(entry.traits, now), effectivePriority(entry.traits, entry.enqueuedAt, now), missesTarget(entry.traits, now), workMagnitude(entry.traits), entry.traits.targetTime, entry.id);
     };
     return key(left) < key(right);
 }
@@ -46,33 +57,33 @@
 QueuePushResult AdmissionQueue::push(const QueueTraits& traits, Duration readyIn, Duration timePerStart)
 {
     const auto now = m_clock.now();
-    const Entry added { .id = ++m_lastId, .enqueuedAt = now, .traits = traits };
-    if (now + expectedWait(traits, readyIn, timePerStart) > traits.latestStart)
-        return {};
-    m_entries.push_back(added);
+    const Entry added { .id = m_lastId + 1, .enqueuedAt = now, .traits = traits };
     sort(now);
-    QueuePushResult result;
-    std::vector<Entry> kept;
-    kept.reserve(m_entries.size());
-    for (const auto& entry : m_entries) {
-        const auto start = now + readyIn + static_cast<std::int64_t>(kept.size()) * timePerStart;
-        if (kept.size() < m_options.maximumLength && start <= entry.traits.latestStart)
-            kept.push_back(entry);
-        else if (entry.id != added.id)
-            result.displaced.push_back(entry.id);
+    const auto behind = std::ranges::partition_point(m_entries, [&](const Entry& entry) { return goesBefore(entry, added, now); });
+    const auto ahead = behind - m_entries.begin();
+    const auto startsInTime = [&](const Entry& entry, std::int64_t place) { return now + waitBehind(place, readyIn, timePerStart) <= entry.traits.latestStart; };
+    if (static_cast<std::size_t>(ahead) >= m_options.maximumLength || !startsInTime(added, ahead))
+        return {};
+    m_lastId = added.id;
+    QueuePushResult result { .id = added.id };
+    std::vector<Entry> kept(m_entries.begin(), behind);
+    kept.push_back(added);
+    for (auto entry = behind; entry != m_entries.end(); ++entry) {
+        if (kept.size() < m_options.maximumLength && startsInTime(*entry, static_cast<std::int64_t>(kept.size())))
+            kept.push_back(*entry);
+        else
+            result.displaced.push_back(entry->id);
     }
     m_entries = std::move(kept);
-    if (std::ranges::find(m_entries, added.id, &Entry::id) != m_entries.end())
-        result.id = added.id;
     return result;
 }
 
 std::optional<std::uint64_t> AdmissionQueue::pop()
 {
-    if (m_entries.empty())
-        return std::nullopt;
     const auto now = m_clock.now();
     const auto next = std::ranges::min_element(m_entries, [now](const Entry& left, const Entry& right) { return goesBefore(left, right, now); });
+    if (next == m_entries.end() || isExpired(next->traits, now))
+        return std::nullopt;
     const auto id = next->id;
     m_entries.erase(next);
     return id;
@@ -108,7 +119,7 @@
     const auto now = m_clock.now();
     const Entry added { .id = m_lastId + 1, .enqueuedAt = now, .traits = traits };
     const auto ahead = std::ranges::count_if(m_entries, [&](const Entry& entry) { return goesBefore(entry, added, now); });
-    return readyIn + ahead * timePerStart;
+    return waitBehind(ahead, readyIn, timePerStart);
 }
 
 void AdmissionQueue::sort(MonotonicTime now)
--- a/src/admission/tests/overloadmodel.h
+++ b/src/admission/tests/overloadmodel.h
@@ -2,14 +2,11 @@
 
 #include "admission/admission.h"
 #include "admission/queuedadmission.h"
+#include "admission/tests/eventsimulation.h"
 #include "admission/tests/overloadoptions.h"
 #include "admission/tests/overloadresult.h"
-#include "foundation/seededrandom.h"
-#include "testing/manualclock.h"
 
 #include <algorithm>
-#include <cmath>
-#include <functional>
 #include <map>
 
 namespace clementinesill::admission {
@@ -20,11 +17,10 @@
 public:
     explicit OverloadModel(const OverloadOptions& options)
         : m_options(options)
-        , m_random(options.seed)
-        , m_admission({ .slots = options.slots, .connectionLimit = 1000000, .warmupOff = options.warmupOff }, m_clock)
-        , m_queued(m_admission, {}, m_clock)
-        , m_begin(m_clock.now())
-        , m_coldSince(m_begin)
+        , m_simulation(options.seed)
+        , m_admission({ .slots = options.slots, .connectionLimit = 1000000, .warmupOff = options.warmupOff }, m_simulation.clock())
+        , m_queued(m_admission, {}, m_simulation.clock())
+        , m_coldSince(m_simulation.begin())
     {
     }
 
@@ -32,14 +28,8 @@
     {
         scheduleArrival();
         if (m_options.turnsColdAfter > Duration::zero())
-            schedule(m_options.turnsColdAfter, [this] { m_coldSince = m_clock.now(); });
-        while (!m_events.empty() && m_events.begin()->first <= m_begin + m_options.length) {
-            const auto event = m_events.begin();
-            m_clock.advance(event->first - m_clock.now());
-            const auto action = std::move(event->second);
-            m_events.erase(event);
-            action();
-        }
+            m_simulation.schedule(m_options.turnsColdAfter, [this] { m_coldSince = m_simulation.clock().now(); });
+        m_simulation.run(m_options.length);
         const std::chrono::duration<double> length = m_options.length;
         m_result.goodput = static_cast<double>(m_result.completed) / (length.count() * capacity());
         return m_result;
@@ -58,31 +48,26 @@
     // Requests per second that the warm server can finish.
     double capacity() const { return m_options.slots / std::chrono::duration<double>(m_options.serviceTime).count(); }
 
-    double uniform() { return static_cast<double>(m_random.below(1U << 30) + 1) / static_cast<double>(1U << 30); }
-
-    void schedule(Duration delay, std::function<void()> action) { m_events.emplace(m_clock.now() + delay, std::move(action)); }
-
     // Concurrent requests that the server can run now without slowing down.
     double currentSlots() const
     {
         if (m_options.coldTime <= Duration::zero())
             return m_options.slots;
-        const auto share = std::chrono::duration<double>(m_clock.now() - m_coldSince) / std::chrono::duration<double>(m_options.coldTime);
+        const auto share = std::chrono::duration<double>(m_simulation.clock().now() - m_coldSince) / std::chrono::duration<double>(m_options.coldTime);
         return 1 + (m_options.slots - 1) * std::min(1.0, share);
     }
 
     void scheduleArrival()
     {
-        const std::chrono::duration<double> gap(-std::log(uniform()) / (m_options.load * capacity()));
-        schedule(std::chrono::duration_cast<Duration>(gap), [this] {
+        m_simulation.schedule(m_simulation.gap(m_options.load * capacity()), [this] {
             scheduleArrival();
-            arrive({ m_clock.now(), 1 });
+            arrive({ m_simulation.clock().now(), 1 });
         });
     }
 
     void arrive(Request request)
     {
-        request.arrivedAt = m_clock.now();
+        request.arrivedAt = m_simulation.clock().now();
         if (m_options.admissionOff) {
             start(request);
             return;
@@ -94,7 +79,7 @@
         }
         const auto id = entry.queuedRequest->id;
         m_waiting.emplace(id, request);
-        schedule(entry.queuedRequest->maximumWait, [this, id, request] {
+        m_simulation.schedule(entry.queuedRequest->maximumWait, [this, id, request] {
             if (m_waiting.erase(id) > 0)
                 handleDecision(m_queued.dequeue(id), request);
         });
@@ -110,7 +95,7 @@
         if (request.attempt == maximumAttempts)
             return;
         ++request.attempt;
-        schedule(decision.retryAfter, [this, request] { arrive(request); });
+        m_simulation.schedule(decision.retryAfter, [this, request] { arrive(request); });
     }
 
     void start(const Request& request)
@@ -123,20 +108,20 @@
         if (overload > collapseFactor) {
             // All running requests fail and the server restarts cold.
             ++m_result.collapses;
-            m_coldSince = m_clock.now();
+            m_coldSince = m_simulation.clock().now();
             ++m_generation;
         }
         const auto slowdown = std::max(1.0, overload * overload);
-        const auto jitter = 0.5 + uniform();
+        const auto jitter = 0.5 + m_simulation.uniform();
         const auto time = std::chrono::duration_cast<Duration>(m_options.serviceTime * (slowdown * jitter));
         const auto generation = m_generation;
-        schedule(time, [this, request, generation, time] { finish(request, generation == m_generation, time); });
+        m_simulation.schedule(time, [this, request, generation, time] { finish(request, generation == m_generation, time); });
     }
 
     void finish(const Request& request, bool survived, Duration latency)
     {
         --m_running;
-        if (survived && m_clock.now() - request.arrivedAt <= callerTimeout)
+        if (survived && m_simulation.clock().now() - request.arrivedAt <= callerTimeout)
             ++m_result.completed;
         if (m_options.admissionOff)
             return;
@@ -148,13 +133,10 @@
     }
 
     OverloadOptions m_options;
-    SeededRandom m_random;
-    ManualClock m_clock;
+    EventSimulation m_simulation;
     Admission m_admission;
     QueuedAdmission m_queued;
-    MonotonicTime m_begin;
     MonotonicTime m_coldSince;
-    std::multimap<MonotonicTime, std::function<void()>> m_events;
     std::map<std::uint64_t, Request> m_waiting;
     std::uint32_t m_running = 0;
     std::uint64_t m_generation = 0;
