Let the request proxy order waiting requests with the admission queue

Cause: the proxy's RequestQueue knew two priorities and arrival only, and let requests wait although their turn could not come in time. Change: QueuedAdmission takes QueueTraits and uses AdmissionQueue; its bounds of the wait (100 ms, 2 x target while a standing queue exists) moved to StandingQueue and limit latestStart. RequestAdmitter states the priority of the class, its measured work per class and the caller's deadline. Displaced and drained requests are rejected at once (WaitOutcome); IAdmission::rejectRequest counts them for Retry-After. The next slot is taken to become free at any moment, so one request may always wait for it.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -15,6 +15,7 @@
     AdmissionDecision admitFlowRejectedElsewhere() override;
     void releaseFlow() override;
     AdmissionDecision admitRequest() override;
+    AdmissionDecision rejectRequest(AdmissionReason reason) override { return reject(reason); }
     void finishRequest(const RequestResult& result) override;
     void drain() override;
     void restartWarmup() override;
--- a/src/admission/iadmission.h
+++ b/src/admission/iadmission.h
@@ -23,6 +23,10 @@
     // Decides whether a request (in stream mode: the flow itself) may start now. An admitted request must be ended with
     // finishRequest.
     virtual AdmissionDecision admitRequest() = 0;
+
+    // Rejects a request for a reason that the caller has established, and counts it for the time to retry after.
+    virtual AdmissionDecision rejectRequest(AdmissionReason reason) = 0;
+
     virtual void finishRequest(const RequestResult& result) = 0;
 
     // Rejects new flows and requests from now on; those in progress continue.
--- a/src/admission/internal/queuedadmission.cpp
+++ b/src/admission/internal/queuedadmission.cpp
@@ -1,10 +1,14 @@
 #include "admission/queuedadmission.h"
 
+#include <algorithm>
+
 namespace clementinesill::admission {
 
 QueuedAdmission::QueuedAdmission(IAdmission& admission, const QueueOptions& options, const IClock& clock)
     : m_admission(admission)
-    , m_queue(options, clock)
+    , m_clock(clock)
+    , m_queue({ .maximumLength = options.maximumLength }, clock)
+    , m_standingQueue(options, clock)
 {
 }
 
@@ -14,7 +18,12 @@
     return load.requests < load.limit;
 }
 
-QueueingDecision QueuedAdmission::submit(QueuePriority priority)
+Duration QueuedAdmission::timePerStart() const
+{
+    return m_slotTime.value() / std::max(m_admission.load().limit, 1U);
+}
+
+QueueingDecision QueuedAdmission::submit(QueueTraits traits)
 {
     AdmissionDecision decision { .reason = AdmissionReason::SlotLimit };
     // Queued requests are admitted before new ones.
@@ -23,31 +32,50 @@
         const auto temporary = decision.reason == AdmissionReason::SlotLimit || decision.reason == AdmissionReason::WarmupLimit;
         if (!temporary)
             return { .decision = decision };
+        m_standingQueue.recordWait(Duration::zero());
     }
-    if (const auto queued = m_queue.push(priority))
-        return { .decision = decision, .queuedRequest = queued };
-    decision = m_admission.admitRequest();
-    if (!decision.admitted())
-        decision.reason = AdmissionReason::QueueTooLong;
-    return { .decision = decision };
+    const auto now = m_clock.now();
+    traits.latestStart = std::min(traits.latestStart, now + m_standingQueue.maximumWait());
+    // The progress of the running requests is not known, so the next slot may become free at any moment.
+    const auto result = m_queue.push(traits, Duration::zero(), timePerStart());
+    if (!result.id)
+        return { .decision = m_admission.rejectRequest(AdmissionReason::QueueTooLong) };
+    m_queuedAt.emplace(*result.id, now);
+    QueueingDecision queued { .decision = decision, .queuedRequest = QueuedRequest { .id = *result.id, .maximumWait = traits.latestStart - now } };
+    for (const auto id : result.displaced) {
+        // The wait of a displaced request is cut short, so it says nothing about a standing queue.
+        m_queuedAt.erase(id);
+        queued.displaced.push_back({ id, m_admission.rejectRequest(AdmissionReason::QueueTooLong) });
+    }
+    return queued;
 }
 
 AdmissionDecision QueuedAdmission::dequeue(std::uint64_t id)
 {
-    m_queue.remove(id);
+    if (m_queue.remove(id))
+        recordWait(id);
     return m_admission.admitRequest();
 }
 
-std::vector<std::uint64_t> QueuedAdmission::finish(const RequestResult& result)
+std::vector<WaitOutcome> QueuedAdmission::finish(const RequestResult& result)
 {
     m_admission.finishRequest(result);
-    std::vector<std::uint64_t> admitted;
-    while (!m_queue.empty() && hasFreeSlot()) {
-        if (!m_admission.admitRequest().admitted())
+    m_slotTime.record(result.slotTime);
+    std::vector<WaitOutcome> outcomes;
+    while (hasFreeSlot()) {
+        const auto next = m_queue.pop();
+        if (!next)
             break;
-        admitted.push_back(*m_queue.pop());
+        recordWait(*next);
+        outcomes.push_back({ *next, m_admission.admitRequest() });
     }
-    return admitted;
+    return outcomes;
+}
+
+void QueuedAdmission::recordWait(std::uint64_t id)
+{
+    const auto queuedAt = m_queuedAt.extract(id);
+    m_standingQueue.recordWait(m_clock.now() - queuedAt.mapped());
 }
 
 } // namespace clementinesill::admission
--- a/src/admission/tests/admissionqueueproperties.cpp
+++ b/src/admission/tests/admissionqueueproperties.cpp
@@ -127,14 +127,16 @@
     void checkDisplaced(const std::vector<Waiting>& displaced, const Waiting& added, Duration readyIn, Duration timePerStart) const
     {
         const auto now = m_clock.now();
+        const auto placeOf = [&](const Waiting& request) { return std::ranges::count_if(m_waiting, [&](const auto& entry) { return comesBefore(entry.second, request, now); }); };
+        const auto startsInTime = [&](const Waiting& request) { return now + readyIn + placeOf(request) * timePerStart <= request.traits.latestStart; };
+        for (const auto& [id, kept] : m_waiting)
+            RC_ASSERT(comesBefore(kept, added, now) || startsInTime(kept));
         for (const auto& request : displaced) {
             const auto isExpired = request.traits.latestStart < now;
             RC_ASSERT(isExpired || comesBefore(added, request, now));
-            const auto keptAhead = std::ranges::count_if(m_waiting, [&](const auto& entry) { return comesBefore(entry.second, request, now); });
-            const auto startsInTime = now + readyIn + keptAhead * timePerStart <= request.traits.latestStart;
             // One that could start in time is displaced only by length, and then comes after all that were kept.
-            if (!isExpired && startsInTime)
-                RC_ASSERT(static_cast<std::size_t>(keptAhead) == maximumLength);
+            if (!isExpired && startsInTime(request))
+                RC_ASSERT(static_cast<std::size_t>(placeOf(request)) == maximumLength);
         }
     }
 
--- a/src/admission/tests/overloadmodel.h
+++ b/src/admission/tests/overloadmodel.h
@@ -72,7 +72,9 @@
             start(request);
             return;
         }
-        const auto entry = m_queued.submit(QueuePriority::Normal);
+        const auto due = request.arrivedAt + callerTimeout;
+        const auto entry = m_queued.submit({ .expectedWork = m_options.serviceTime, .targetTime = due, .latestStart = due });
+        endWaits(entry.displaced);
         if (!entry.queuedRequest) {
             handleDecision(entry.decision, request);
             return;
@@ -126,10 +128,13 @@
         if (m_options.admissionOff)
             return;
         const auto outcome = survived ? RequestOutcome::Completed : RequestOutcome::Failed;
-        for (const auto id : m_queued.finish({ .outcome = outcome, .latency = latency })) {
-            const auto waiting = m_waiting.extract(id);
-            start(waiting.mapped());
-        }
+        endWaits(m_queued.finish({ .outcome = outcome, .latency = latency, .slotTime = latency }));
+    }
+
+    void endWaits(const std::vector<WaitOutcome>& outcomes)
+    {
+        for (const auto& [id, decision] : outcomes)
+            handleDecision(decision, m_waiting.extract(id).mapped());
     }
 
     OverloadOptions m_options;
--- a/src/admission/types/requestresult.h
+++ b/src/admission/types/requestresult.h
@@ -26,6 +26,8 @@
     // Time from forwarding the request to the start of the response.
     std::chrono::nanoseconds latency { 0 };
     RequestKind kind = RequestKind::Idempotent;
+    // Time that the request occupied its slot.
+    std::chrono::nanoseconds slotTime { 0 };
 };
 
 } // namespace clementinesill::admission
--- a/src/agent/tests/fakeadmission.h
+++ b/src/agent/tests/fakeadmission.h
@@ -32,6 +32,7 @@
     }
     void releaseFlow() override { --flows; }
     admission::AdmissionDecision admitRequest() override { return {}; }
+    admission::AdmissionDecision rejectRequest(admission::AdmissionReason reason) override { return { .reason = reason }; }
     void finishRequest(const admission::RequestResult&) override { }
     void drain() override { m_draining = true; }
     void restartWarmup() override { ++warmupRestarts; }
--- a/src/bench/bench_admission.cpp
+++ b/src/bench/bench_admission.cpp
@@ -41,9 +41,10 @@
     const SystemClock clock;
     Admission admission({ .slots = 1 }, clock);
     QueuedAdmission queued(admission, {}, clock);
-    queued.submit(QueuePriority::Normal);
+    const QueueTraits traits { .targetTime = MonotonicTime::max(), .latestStart = MonotonicTime::max() };
+    queued.submit(traits);
     for (auto _ : state) {
-        queued.submit(QueuePriority::Normal);
+        queued.submit(traits);
         benchmark::DoNotOptimize(queued.finish({}));
     }
 }
--- a/src/requests/internal/requesttask.cpp
+++ b/src/requests/internal/requesttask.cpp
@@ -176,15 +176,15 @@
 boost::asio::awaitable<void> RequestTask::admitAndExchange()
 {
     m_proxy.retryBudget.onRequest();
-    const auto priority = m_class == RequestClass::NonIdempotent ? admission::QueuePriority::High : admission::QueuePriority::Normal;
-    const auto decision = co_await m_proxy.admitter.admit(priority, remainingTime());
+    const auto kind = m_class == RequestClass::NonIdempotent ? admission::RequestKind::NonIdempotent : admission::RequestKind::Idempotent;
+    const auto decision = co_await m_proxy.admitter.admit(kind, m_deadline);
     if (!decision.admitted()) {
         m_reason = reasonName(decision.reason);
         const auto response = rejection(decision);
         co_await reply(response);
         co_return;
     }
-    m_admissionGuard.emplace(m_proxy.admitter);
+    m_admissionGuard.emplace(m_proxy.admitter, kind);
     auto result = co_await exchange(false);
     while (admitRetry(result)) {
         m_proxy.metrics.counter("request_retries_total", { { "service", m_proxy.options.service } }).fetch_add(1);
@@ -238,7 +238,7 @@
 void RequestTask::finishAdmission(RequestOutcome outcome)
 {
     if (m_admissionGuard)
-        m_admissionGuard->finish({ .outcome = outcome, .latency = m_latency, .kind = m_class == RequestClass::NonIdempotent ? admission::RequestKind::NonIdempotent : admission::RequestKind::Idempotent });
+        m_admissionGuard->finish(outcome, m_latency);
 }
 
 void RequestTask::finishAdmission(ExchangeResult result)
--- a/src/requests/tests/requesttask.cpp
+++ b/src/requests/tests/requesttask.cpp
@@ -285,6 +285,35 @@
     }
 }
 
+// Guards against an order that waits behind reads, and against a read with little time left that waits behind one with more.
+TEST(RequestTask, AdmitsOrdersThenEarliestDeadlineFirst)
+{
+    std::vector<std::unique_ptr<Signal>> running;
+    ProxyHarness harness([&](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+            co_await FakeServer::readRequest(socket, server);
+            running.push_back(std::make_unique<Signal>(socket.get_executor()));
+            auto& signal = *running.back();
+            co_await signal.wait();
+            co_await FakeServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"); },
+        { .queue = { .interval = std::chrono::seconds(10) } });
+    for (int index = 0; index < 5; ++index)
+        harness.connect().send(getRequest);
+    CHECK(harness.runUntil([&] { return running.size() == 5; }));
+    harness.connect().send("GET /patient HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
+    harness.connect().send("GET /urgent HTTP/1.1\r\nHost: s\r\nRequest-Timeout-Ms: 20000\r\nConnection: close\r\n\r\n");
+    harness.connect().send("POST /order HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    harness.context.poll();
+    const std::vector<std::string_view> expected { "POST /order", "GET /urgent", "GET /patient" };
+    for (std::size_t index = 0; index < expected.size(); ++index) {
+        running[index]->notify();
+        CHECK(harness.runUntil([&] { return running.size() == 6 + index; }));
+        CHECK(harness.server->requests.back().starts_with(expected[index]));
+    }
+    for (const auto& signal : running)
+        signal->notify();
+    CHECK(harness.runUntilServed());
+}
+
 TEST(RequestTask, RejectsRequestsOverLimits)
 {
     const std::vector<std::pair<std::string, std::string>> cases {
