Add the load notice to the Geneve codec

Agents need a message that tells a balancer which servers are busy or reject new flows. The option (0x06) is not critical, may share a control datagram with a holder option, and is ignored if it is malformed or has an unknown level, so that it never costs the rest of its message. Lists beyond the 29 ids that fit are cut. The C bit of the header is now set only if an option with the critical bit is present.

--- a/src/dataplane/internal/genevecodec.cpp
+++ b/src/dataplane/internal/genevecodec.cpp
@@ -4,6 +4,7 @@
 #include "dataplane/internal/geneveheader.h"
 #include "dataplane/internal/geneveoptionheader.h"
 #include "dataplane/internal/holderfields.h"
+#include "dataplane/internal/loadnoticefields.h"
 #include "dataplane/internal/routefields.h"
 #include "dataplane/types/genevemessage.h"
 
@@ -24,6 +25,8 @@
 constexpr std::uint8_t criticalFlag = 0x40;
 constexpr std::size_t wordBytes = 4;
 constexpr std::size_t maximumOptionsBytes = 252;
+// The length field of an option has 5 bits and counts words.
+constexpr std::size_t maximumOptionBodyBytes = 31 * wordBytes;
 
 enum OptionType : std::uint8_t {
     RouteOption = 0x81,
@@ -32,6 +35,8 @@
     HolderOption = 0x84,
     // Not critical: without it, the search ends without a reset.
     TraversalOption = 0x05,
+    // Not critical: without it, the balancer places new flows as if it knew nothing about the servers' load.
+    LoadNoticeOption = 0x06,
 };
 
 bool readRoute(std::span<const std::byte> body, GeneveMessage& message)
@@ -106,6 +111,27 @@
     return true;
 }
 
+bool isLoadLevel(std::uint8_t value)
+{
+    return value == static_cast<std::uint8_t>(LoadLevel::Busy) || value == static_cast<std::uint8_t>(LoadLevel::Full);
+}
+
+// A notice that this version does not understand is ignored, so that it never costs the rest of its message.
+void readLoadNotice(std::span<const std::byte> body, GeneveMessage& message)
+{
+    if (body.size() < sizeof(LoadNoticeFields) + wordBytes)
+        return;
+    const auto& fields = *reinterpret_cast<const LoadNoticeFields*>(body.data());
+    if (!isLoadLevel(fields.level.value()))
+        return;
+    auto& notice = message.loadNotice.emplace();
+    notice.level = static_cast<LoadLevel>(fields.level.value());
+    notice.priority = fields.priority.value();
+    notice.validity = std::chrono::milliseconds(fields.validityMs.value());
+    for (std::size_t offset = sizeof(LoadNoticeFields); offset < body.size(); offset += wordBytes)
+        notice.servers.push_back(reinterpret_cast<const boost::endian::big_uint32_buf_t*>(body.data() + offset)->value());
+}
+
 PacketError readOption(const GeneveOptionHeader& header, std::span<const std::byte> body, GeneveMessage& message)
 {
     const auto unknownOptionError = header.type.value() & criticalBit ? PacketError::UnknownCriticalOption : PacketError::None;
@@ -128,6 +154,10 @@
     case TraversalOption:
         hasValidLength = readTraversal(body, message);
         break;
+    case LoadNoticeOption:
+        readLoadNotice(body, message);
+        hasValidLength = true;
+        break;
     default:
         return unknownOptionError;
     }
@@ -197,6 +227,27 @@
     *reinterpret_cast<boost::endian::big_uint32_buf_t*>(appendOption(end, TraversalOption, wordBytes)) = newestKnownServer;
 }
 
+// Writes as many server ids as fit into the option, and nothing for a notice without servers.
+void writeLoadNotice(const LoadNotice& notice, std::byte*& end)
+{
+    constexpr auto maximumServers = (maximumOptionBodyBytes - sizeof(LoadNoticeFields)) / wordBytes;
+    const auto count = std::min(notice.servers.size(), maximumServers);
+    if (!count)
+        return;
+    auto* body = appendOption(end, LoadNoticeOption, sizeof(LoadNoticeFields) + count * wordBytes);
+    auto& fields = *reinterpret_cast<LoadNoticeFields*>(body);
+    constexpr std::chrono::milliseconds::rep maximumValidityMs = std::numeric_limits<std::uint16_t>::max();
+    fields.level = static_cast<std::uint8_t>(notice.level);
+    fields.reserved = std::uint8_t(0);
+    fields.validityMs = static_cast<std::uint16_t>(std::clamp<std::chrono::milliseconds::rep>(notice.validity.count(), 0, maximumValidityMs));
+    fields.priority = notice.priority;
+    body += sizeof(LoadNoticeFields);
+    for (const auto id : std::span(notice.servers).first(count)) {
+        *reinterpret_cast<boost::endian::big_uint32_buf_t*>(body) = id;
+        body += wordBytes;
+    }
+}
+
 // Number of entries, at most count, that fit into the free bytes together with their option header.
 std::size_t fittingEntries(std::size_t count, std::size_t entryBytes, std::size_t freeBytes)
 {
@@ -249,6 +300,7 @@
     message.candidates.clear();
     message.holder.reset();
     message.newestKnownServer.reset();
+    message.loadNotice.reset();
     message.payload = datagram.subspan(sizeof(GeneveHeader) + optionsBytes);
     return readOptions(datagram.subspan(sizeof(GeneveHeader), optionsBytes), message);
 }
@@ -263,6 +315,8 @@
         writeHolder(*message.holder, end);
     if (message.newestKnownServer)
         writeTraversal(*message.newestKnownServer, end);
+    if (message.loadNotice)
+        writeLoadNotice(*message.loadNotice, end);
     const auto freeBytes = [&] { return maximumOptionsBytes - static_cast<std::size_t>(end - options); };
     if (const auto count = fittingEntries(message.visited.size(), wordBytes, freeBytes()))
         writeVisited(std::span(message.visited).first(count), end);
@@ -271,7 +325,8 @@
     const auto optionsBytes = static_cast<std::size_t>(end - options);
     auto& header = *reinterpret_cast<GeneveHeader*>(out.data());
     header.versionAndLength = static_cast<std::uint8_t>(optionsBytes / wordBytes);
-    header.flags = static_cast<std::uint8_t>((message.control ? controlFlag : 0) | (optionsBytes ? criticalFlag : 0));
+    const bool hasCriticalOption = message.route || message.holder || !message.visited.empty() || !message.candidates.empty();
+    header.flags = static_cast<std::uint8_t>((message.control ? controlFlag : 0) | (hasCriticalOption ? criticalFlag : 0));
     header.protocol = ethernetTypeIpv4;
     header.networkId = message.serviceId;
     header.reserved = std::uint8_t(0);
--- a/src/dataplane/tests/genevecodec.cpp
+++ b/src/dataplane/tests/genevecodec.cpp
@@ -33,6 +33,11 @@
         message.holder = FlowHolder { .key = { .caller = randomEndpoint(random), .service = randomEndpoint(random), .protocol = fleet::TransportProtocol::Udp }, .serverId = number(), .incarnation = number() };
     if (!random.below(4))
         message.newestKnownServer = number();
+    if (!random.below(4)) {
+        message.loadNotice = LoadNotice { .level = random.below(2) ? LoadLevel::Busy : LoadLevel::Full, .priority = number(), .validity = std::chrono::milliseconds(random.below(1 << 16)), .servers = {} };
+        for (auto servers = 1 + random.below(8); servers; --servers)
+            message.loadNotice->servers.push_back(number());
+    }
     while (message.visited.size() < visited)
         message.visited.push_back(number());
     while (message.candidates.size() < candidates)
@@ -71,7 +76,7 @@
         RC_ASSERT(decodeGeneve(bytes, decoded) == PacketError::None);
         RC_ASSERT(decoded.serviceId == message.serviceId && decoded.control == message.control);
         RC_ASSERT(decoded.route == message.route && decoded.holder == message.holder);
-        RC_ASSERT(decoded.newestKnownServer == message.newestKnownServer);
+        RC_ASSERT(decoded.newestKnownServer == message.newestKnownServer && decoded.loadNotice == message.loadNotice);
         RC_ASSERT(decoded.visited == message.visited && decoded.candidates == message.candidates);
         RC_ASSERT(std::all_of(decoded.payload.begin(), decoded.payload.end(), [](auto byte) { return byte == std::byte { 9 }; }));
     }));
@@ -147,3 +152,44 @@
     CHECK(decodeWithOption(0x85, 1, 4) == PacketError::UnknownCriticalOption);
     CHECK(decodeWithOption(0x05, 1, 4) == PacketError::None);
 }
+
+// Guards against a longer list than the option's length field can express.
+TEST(GeneveCodec, LeavesOutServersThatDoNotFitIntoLoadNotice)
+{
+    GeneveMessage message;
+    message.control = true;
+    message.loadNotice = LoadNotice { .level = LoadLevel::Full, .priority = 1, .validity = std::chrono::hours(1), .servers = {} };
+    CHECK_EQUAL(8U, encode(message).size());
+    for (std::uint32_t id = 1; id <= maximumNoticeServers; ++id)
+        message.loadNotice->servers.push_back(id);
+    GeneveMessage decoded;
+    const auto bytes = encode(message);
+    CHECK(decodeGeneve(bytes, decoded) == PacketError::None);
+    CHECK(decoded.control && decoded.loadNotice);
+    LONGS_EQUAL(29, decoded.loadNotice->servers.size());
+    LONGS_EQUAL(29, decoded.loadNotice->servers.back());
+    LONGS_EQUAL(65535, decoded.loadNotice->validity.count());
+}
+
+// Guards against a notice of a later version, or a damaged one, that costs the message it travels in.
+TEST(GeneveCodec, IgnoresMalformedLoadNoticeInValidMessage)
+{
+    CHECK(rc::check("the rest of the message is decoded", [](std::uint64_t seed) {
+        SeededRandom random(seed);
+        auto message = randomMessage(random, random.below(4), 0);
+        message.loadNotice.reset();
+        auto bytes = encode(message);
+        const auto words = random.below(32);
+        const auto optionAt = bytes.size();
+        bytes[0] = static_cast<std::byte>(static_cast<unsigned>(bytes[0]) + 1 + words);
+        for (const unsigned value : { 0xffU, 0x10U, 0x06U, static_cast<unsigned>(words) })
+            bytes.push_back(static_cast<std::byte>(value));
+        for (std::size_t count = 0; count < words * 4; ++count)
+            bytes.push_back(static_cast<std::byte>(random.next()));
+        const bool valid = words >= 3 && (bytes[optionAt + 4] == std::byte { 1 } || bytes[optionAt + 4] == std::byte { 2 });
+        GeneveMessage decoded;
+        RC_ASSERT(decodeGeneve(bytes, decoded) == PacketError::None);
+        RC_ASSERT(decoded.route == message.route && decoded.holder == message.holder && decoded.visited == message.visited);
+        RC_ASSERT(decoded.loadNotice.has_value() == valid);
+    }));
+}
