Place new flows by load, and reject them at the entry when all servers are full

A balancer placed new flows by zone and rank whatever the load, so SYNs of a full service visited up to 30 agents before their reset, and callers of a crowded zone waited while other zones had room.

ServerLoadView keeps what agents report (busy 50 ms, full 100 ms) per server. EntryRouter selects the server in one pass without sort or allocation, also for open flows without a cache entry, and resets a SYN if every accepting server is full for its priority. A server whose SYNs are retransmitted is placed after busy ones, since a failed VM sends no notices and would look idle. Without overload.load_notices, placement is as before.

Unanswered validity (500 ms): chosen.

--- a/src/passthrough/entryrouter.h
+++ b/src/passthrough/entryrouter.h
@@ -11,18 +11,22 @@
 
 namespace clementinesill::fleet {
 class FleetTable;
-}
+struct RouteEntry;
+struct ServiceEntry;
+} // namespace clementinesill::fleet
 
 namespace clementinesill::passthrough {
 
+class ServerLoadView;
 struct FlowPacket;
 
 // Decides to which agent a balancer forwards a caller's packet. Holds no state that must survive a restart: the agents search
 // for flows that are not in the cache or were opened through another balancer.
 class EntryRouter {
 public:
-    // The cache must outlive the router. zone is the zone of the balancer and of its callers.
-    EntryRouter(dataplane::IFlowCache& cache, std::string zone);
+    // The cache and the view must outlive the router. zone is the zone of the balancer and of its callers. Without a view, new
+    // flows are placed by zone and rank only.
+    EntryRouter(dataplane::IFlowCache& cache, std::string zone, ServerLoadView* loadView = nullptr);
 
     EntryDecision decide(const FlowPacket& packet, const fleet::FleetTable& table);
 
@@ -30,11 +34,15 @@
     void learn(const dataplane::FlowHolder& holder, const fleet::FleetTable& table);
 
 private:
-    EntryDecision routeNewFlow(const FlowPacket& packet, const fleet::FleetTable& table, std::uint64_t flowHash);
+    EntryDecision routeNewFlow(const FlowPacket& packet, const fleet::RouteEntry& route, const fleet::FleetTable& table, std::uint64_t flowHash);
+    EntryDecision placeByRank(const fleet::ServiceEntry& service, std::uint64_t flowHash, std::uint32_t retransmissions) const;
+    EntryDecision placeByLoad(const fleet::ServiceEntry& service, const fleet::RouteEntry& route, std::uint64_t flowHash, const fleet::ServerEntry* unanswered) const;
+    const fleet::ServerEntry* cachedServer(const fleet::FleetTable& table, std::uint64_t flowHash) const;
     EntryDecision routeExistingFlow(const fleet::FleetTable& table, std::uint64_t flowHash, std::uint32_t serviceId);
 
     dataplane::IFlowCache& m_cache;
     std::string m_zone;
+    ServerLoadView* m_loadView;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/decisionlog.cpp
+++ b/src/passthrough/internal/decisionlog.cpp
@@ -1,5 +1,6 @@
 #include "passthrough/internal/decisionlog.h"
 
+#include "dataplane/types/loadnotice.h"
 #include "fleet/fleettable.h"
 #include "foundation/log.h"
 #include "passthrough/types/entrydecision.h"
@@ -92,9 +93,29 @@
         fields.push_back({ .key = "copies", .value = std::to_string(packet.synRetransmissions()) });
     if (decision.server)
         fields.push_back({ .key = logkey::server, .value = decision.server->name });
+    if (decision.reason == EntryReason::ServiceFull)
+        fields.push_back({ .key = logkey::remedy, .value = "add servers to the service; load_notice lines at level debug name the full ones" });
     logAdmitted(logEvent->level, logEvent->event, fields);
 }
 
+void logNotice(const dataplane::LoadNotice& notice, std::uint32_t serviceId)
+{
+    constexpr std::string_view event = "load_notice";
+    if (!admitLine(LogLevel::Debug, event))
+        return;
+    std::string servers;
+    for (const auto id : notice.servers)
+        servers += (servers.empty() ? "" : ",") + std::to_string(id);
+    const std::vector<LogField> fields {
+        { .key = "service", .value = std::to_string(serviceId) },
+        { .key = "level", .value = notice.level == dataplane::LoadLevel::Full ? "full" : "busy" },
+        { .key = "priority", .value = std::to_string(notice.priority) },
+        { .key = "valid_ms", .value = std::to_string(notice.validity.count()) },
+        { .key = "servers", .value = servers },
+    };
+    logAdmitted(LogLevel::Debug, event, fields);
+}
+
 void logDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet, const RelayDecisionContext& context)
 {
     const auto logEvent = eventFor(decision, search, packet);
--- a/src/passthrough/internal/decisionlog.h
+++ b/src/passthrough/internal/decisionlog.h
@@ -4,6 +4,10 @@
 #include <optional>
 #include <string>
 
+namespace clementinesill::dataplane {
+struct LoadNotice;
+}
+
 namespace clementinesill::fleet {
 struct FlowKey;
 }
@@ -25,6 +29,9 @@
 // Logs a balancer's decision. tableVersion is the version of the table that it is based on.
 void logDecision(const EntryDecision& decision, const FlowPacket& packet, std::uint64_t tableVersion);
 
+// Logs a load notice that a balancer received.
+void logNotice(const dataplane::LoadNotice& notice, std::uint32_t serviceId);
+
 // Logs an agent's decision.
 void logDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet, const RelayDecisionContext& context);
 
--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -3,22 +3,67 @@
 #include "dataplane/iflowcache.h"
 #include "dataplane/types/flowholder.h"
 #include "fleet/fleettable.h"
+#include "fleet/serverrank.h"
+#include "passthrough/serverloadview.h"
 #include "passthrough/types/flowpacket.h"
-#include "passthrough/zonerank.h"
 
+#include <algorithm>
 #include <array>
+#include <boost/container/static_vector.hpp>
+#include <optional>
 
 namespace clementinesill::passthrough {
 
+namespace {
+
+// Returns the server with the lowest key, among equal keys the highest ranked one; null if there is none. key returns no value
+// for a server that must not be selected. One pass without sorting or allocation, since it runs for every SYN.
+template <typename Key>
+const fleet::ServerEntry* lowestRanked(std::uint64_t flowHash, const std::vector<fleet::ServerEntry>& servers, Key&& key)
+{
+    fleet::HighestRanked highest(flowHash);
+    unsigned lowestKey = 0;
+    for (const auto& server : servers) {
+        const std::optional<unsigned> serverKey = key(server);
+        if (!serverKey || (highest.server() && *serverKey > lowestKey))
+            continue;
+        if (*serverKey < lowestKey)
+            highest = fleet::HighestRanked(flowHash);
+        lowestKey = *serverKey;
+        highest.consider(server, [](const auto&) { return true; });
+    }
+    return highest.server();
+}
+
+// Position of a server that is not full among the others; the lowest is first. Bytes between zones cost, so a download leaves
+// its zone only if no server there answers.
+unsigned placementKey(PerceivedLoad load, bool inOtherZone, fleet::RequestKind kind)
+{
+    const auto zone = inOtherZone ? 1U : 0U;
+    if (kind != fleet::RequestKind::Download)
+        return 2 * static_cast<unsigned>(load) + zone;
+    return load == PerceivedLoad::Unanswered ? 4 + zone : 2 * zone + static_cast<unsigned>(load);
+}
+
+EntryDecision reset(EntryReason reason) { return { .action = EntryAction::Reset, .reason = reason }; }
+
+EntryDecision place(const fleet::ServerEntry& server, EntryReason reason)
+{
+    return { .action = EntryAction::Forward, .reason = reason, .server = &server, .opensFlow = true };
+}
+
+} // namespace
+
 std::string_view name(EntryReason reason)
 {
-    static constexpr std::array<std::string_view, entryReasonCount> names { "first_accepting", "next_accepting", "cache_hit", "first_in_rank", "no_table", "no_route", "no_server" };
+    static constexpr std::array<std::string_view, entryReasonCount> names { "first_accepting", "next_accepting", "cache_hit", "first_in_rank", "no_table", "no_route", "no_server", "least_loaded", "service_full" };
     return names.at(static_cast<std::size_t>(reason));
 }
 
-EntryRouter::EntryRouter(dataplane::IFlowCache& cache, std::string zone)
+EntryRouter::EntryRouter(dataplane::IFlowCache& cache, std::string zone, ServerLoadView* loadView)
     : m_cache(cache)
     , m_zone(std::move(zone))
+    , m_loadView(loadView)
 {
 }
 
@@ -32,45 +77,103 @@
     if (!route)
         return { .action = packet.opensFlow() ? EntryAction::Reset : EntryAction::Drop, .reason = EntryReason::NoRoute };
     if (packet.opensFlow())
-        return routeNewFlow(packet, table, flowHash);
+        return routeNewFlow(packet, *route, table, flowHash);
     return routeExistingFlow(table, flowHash, route->serviceFor(flowHash));
 }
 
-EntryDecision EntryRouter::routeNewFlow(const FlowPacket& packet, const fleet::FleetTable& table, std::uint64_t flowHash)
+EntryDecision EntryRouter::routeNewFlow(const FlowPacket& packet, const fleet::RouteEntry& route, const fleet::FleetTable& table, std::uint64_t flowHash)
 {
-    const auto* service = table.service(table.route(packet.key.service)->serviceFor(flowHash));
-    std::vector<const fleet::ServerEntry*> accepting;
-    if (service) {
-        for (const auto* server : rankServersForZone(flowHash, service->servers, m_zone)) {
-            if (server->accepting())
-                accepting.push_back(server);
-        }
+    const auto* service = table.service(route.serviceFor(flowHash));
+    if (!service)
+        return reset(EntryReason::NoServer);
+    const auto retransmissions = std::min<std::uint32_t>(packet.synRetransmissions(), FlowPacket::synTransmitTimes.size() - 1);
+    const auto* unanswered = m_loadView && retransmissions ? cachedServer(table, flowHash) : nullptr;
+    if (unanswered)
+        m_loadView->recordUnanswered(unanswered->id);
+    const bool placesByLoad = m_loadView && !m_loadView->empty();
+    auto decision = placesByLoad ? placeByLoad(*service, route, flowHash, unanswered) : placeByRank(*service, flowHash, retransmissions);
+    if (!decision.server)
+        return decision;
+    if (retransmissions && placesByLoad)
+        decision.reason = EntryReason::NextAccepting;
+    m_cache.store(flowHash, { .serverId = decision.server->id, .incarnation = decision.server->incarnation });
+    return decision;
+}
+
+// A retransmitted SYN goes to the next server in the order, since the one before did not respond in time.
+EntryDecision EntryRouter::placeByRank(const fleet::ServiceEntry& service, std::uint64_t flowHash, std::uint32_t retransmissions) const
+{
+    boost::container::static_vector<const fleet::ServerEntry*, FlowPacket::synTransmitTimes.size()> ranking;
+    const auto key = [&](const fleet::ServerEntry& server) -> std::optional<unsigned> {
+        if (!server.accepting() || std::find(ranking.begin(), ranking.end(), &server) != ranking.end())
+            return std::nullopt;
+        return server.zone != m_zone;
+    };
+    while (ranking.size() <= retransmissions) {
+        const auto* server = lowestRanked(flowHash, service.servers, key);
+        if (!server)
+            break;
+        ranking.push_back(server);
     }
-    if (accepting.empty())
-        return { .action = EntryAction::Reset, .reason = EntryReason::NoServer };
-    const auto index = packet.synRetransmissions() % accepting.size();
-    const auto* server = accepting[index];
-    m_cache.store(flowHash, { .serverId = server->id, .incarnation = server->incarnation });
-    return { .action = EntryAction::Forward, .reason = index ? EntryReason::NextAccepting : EntryReason::FirstAccepting, .server = server, .opensFlow = true };
+    if (ranking.empty())
+        return reset(EntryReason::NoServer);
+    const auto index = retransmissions % ranking.size();
+    return place(*ranking[index], index ? EntryReason::NextAccepting : EntryReason::FirstAccepting);
+}
+
+// Answers load beyond what the servers in the callers' zone, or all servers, can take: new flows go to servers with room first,
+// and are rejected here rather than after a walk over the agents if no server has any for their priority. unanswered is the
+// server to which an earlier transmission of the SYN was sent; null if unknown.
+EntryDecision EntryRouter::placeByLoad(const fleet::ServiceEntry& service, const fleet::RouteEntry& route, std::uint64_t flowHash, const fleet::ServerEntry* unanswered) const
+{
+    const auto now = m_loadView->now();
+    bool anyAccepting = false;
+    const fleet::ServerEntry* lastResort = nullptr;
+    const auto key = [&](const fleet::ServerEntry& server) -> std::optional<unsigned> {
+        if (!server.accepting())
+            return std::nullopt;
+        anyAccepting = true;
+        const auto load = m_loadView->load(server.id, route.priority, now);
+        if (load == PerceivedLoad::Full)
+            return std::nullopt;
+        if (&server == unanswered) {
+            lastResort = &server;
+            return std::nullopt;
+        }
+        return placementKey(load, server.zone != m_zone, route.kind);
+    };
+    const auto* server = lowestRanked(flowHash, service.servers, key);
+    if (!server)
+        server = lastResort;
+    if (!server)
+        return reset(anyAccepting ? EntryReason::ServiceFull : EntryReason::NoServer);
+    return place(*server, EntryReason::LeastLoaded);
+}
+
+const fleet::ServerEntry* EntryRouter::cachedServer(const fleet::FleetTable& table, std::uint64_t flowHash) const
+{
+    const auto cached = m_cache.find(flowHash);
+    const auto* server = cached ? table.server(cached->serverId) : nullptr;
+    return server && server->incarnation == cached->incarnation ? server : nullptr;
 }
 
 EntryDecision EntryRouter::routeExistingFlow(const fleet::FleetTable& table, std::uint64_t flowHash, std::uint32_t serviceId)
 {
-    if (const auto cached = m_cache.find(flowHash)) {
-        const auto* server = table.server(cached->serverId);
-        if (server && server->incarnation == cached->incarnation)
-            return { .action = EntryAction::Forward, .reason = EntryReason::CacheHit, .server = server, .fromCache = true };
-        m_cache.erase(flowHash);
-    }
+    if (const auto* server = cachedServer(table, flowHash))
+        return { .action = EntryAction::Forward, .reason = EntryReason::CacheHit, .server = server, .fromCache = true };
+    m_cache.erase(flowHash);
     const auto* service = table.service(serviceId);
     if (!service || service->servers.empty())
         return { .action = EntryAction::Drop, .reason = EntryReason::NoServer };
-    return { .action = EntryAction::Forward, .reason = EntryReason::FirstInRank, .server = rankServersForZone(flowHash, service->servers, m_zone).front() };
+    const auto key = [&](const fleet::ServerEntry& server) -> std::optional<unsigned> { return (server.silent ? 2U : 0U) + (server.zone != m_zone ? 1U : 0U); };
+    return { .action = EntryAction::Forward, .reason = EntryReason::FirstInRank, .server = lowestRanked(flowHash, service->servers, key) };
 }
 
 void EntryRouter::learn(const dataplane::FlowHolder& holder, const fleet::FleetTable& table)
 {
     const auto* server = table.server(holder.serverId);
+    if (m_loadView)
+        m_loadView->recordAnswer(holder.serverId);
     if (server && server->incarnation == holder.incarnation)
         m_cache.store(fleet::hash(holder.key, table.hashSeed()), { .serverId = holder.serverId, .incarnation = holder.incarnation });
 }
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -15,12 +15,14 @@
 #include "passthrough/internal/tablemetrics.h"
 #include "passthrough/ipacketformat.h"
 #include "passthrough/passthroughmodules.h"
+#include "passthrough/serverloadview.h"
 #include "settings.pb.h"
 
 #include <array>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <mutex>
 #include <thread>
 
 namespace clementinesill::passthrough {
@@ -43,7 +45,9 @@
         , m_makeReadyListener(makeReadyListener)
         , m_metrics(metrics)
         , m_cache(settings.balancer().flow_cache_entries() ? settings.balancer().flow_cache_entries() : defaultCacheEntries)
-        , m_router(m_cache, settings.zone())
+        , m_usesLoadNotices(m_settings.overload().load_notices())
+        , m_router(m_cache, settings.zone(), m_usesLoadNotices ? &m_loadView : nullptr)
+        , m_noticeCounter(metrics.counter("load_notices_total"))
         , m_peerEndpoint(parseEndpoint(m_settings.peer_endpoint()))
         , m_callerPort(parseEndpoint(m_settings.packet_endpoint()).port)
         , m_callerSocket(m_loop, parseEndpoint(m_settings.packet_endpoint()))
@@ -53,6 +57,8 @@
         addTableMetrics(metrics, fleet.tables(), m_clock);
         for (std::size_t reason = 0; reason < m_decisionCounters.size(); ++reason)
             m_decisionCounters[reason] = &metrics.counter("entry_packets_total", { { "reason", std::string(name(static_cast<EntryReason>(reason))) } });
+        if (m_usesLoadNotices)
+            addLoadMetrics();
     }
 
     ~PassThroughBalancer() override { stop(); }
@@ -78,6 +84,25 @@
     }
 
 private:
+    void addLoadMetrics()
+    {
+        m_metrics.describe("load_notices_total", "load notices received from agents");
+        m_metrics.describe("entry_servers_seen", "servers whose load the balancer currently knows, by load");
+        static constexpr std::array<std::pair<PerceivedLoad, std::size_t LoadViewCounts::*>, 3> counts { { { PerceivedLoad::Busy, &LoadViewCounts::busy }, { PerceivedLoad::Unanswered, &LoadViewCounts::unanswered }, { PerceivedLoad::Full, &LoadViewCounts::full } } };
+        for (const auto& [load, count] : counts) {
+            m_metrics.addGauge("entry_servers_seen", { { "load", std::string(name(load)) } }, [this, count = count] {
+                const std::lock_guard lock(m_routerMutex);
+                return static_cast<double>(m_loadView.counts().*count);
+            });
+        }
+    }
+
+    EntryDecision decide(const FlowPacket& packet, const fleet::FleetTable& table)
+    {
+        const std::lock_guard lock(m_routerMutex);
+        return m_router.decide(packet, table);
+    }
+
     void onCallerPacket(std::span<const std::byte> bytes)
     {
         const auto packet = m_format.decode(bytes);
@@ -86,7 +111,7 @@
             return;
         }
         const auto table = m_fleet.tables().table();
-        const auto decision = m_router.decide(*packet, *table);
+        const auto decision = decide(*packet, *table);
         ++*m_decisionCounters.at(static_cast<std::size_t>(decision.reason));
         logDecision(decision, *packet, table->version());
         if (decision.action == EntryAction::Forward)
@@ -114,11 +139,22 @@
     void onAgentPacket(std::span<const std::byte> datagram)
     {
         dataplane::GeneveMessage message;
-        if (dataplane::decodeGeneve(datagram, message) != dataplane::PacketError::None || !message.holder) {
+        const bool decoded = dataplane::decodeGeneve(datagram, message) == dataplane::PacketError::None;
+        const bool hasNotice = decoded && m_usesLoadNotices && message.control && message.loadNotice;
+        if (!decoded || (!message.holder && !hasNotice)) {
             ++m_metrics.counter("entry_malformed_total");
             return;
         }
-        m_router.learn(*message.holder, *m_fleet.tables().table());
+        const auto table = m_fleet.tables().table();
+        if (hasNotice) {
+            ++m_noticeCounter;
+            logNotice(*message.loadNotice, message.serviceId);
+        }
+        const std::lock_guard lock(m_routerMutex);
+        if (hasNotice)
+            m_loadView.apply(*message.loadNotice, *table);
+        if (message.holder)
+            m_router.learn(*message.holder, *table);
     }
 
     const schema::PassThroughSettings m_settings;
@@ -128,7 +164,12 @@
     ReadyListenerFactory m_makeReadyListener;
     MetricsRegistry& m_metrics;
     dataplane::FlowCache m_cache;
+    const bool m_usesLoadNotices;
+    ServerLoadView m_loadView { m_clock };
     EntryRouter m_router;
+    // Guards the router and the view, which the metrics read on another thread.
+    std::mutex m_routerMutex;
+    Counter& m_noticeCounter;
     const Endpoint m_peerEndpoint;
     const std::uint16_t m_callerPort;
     asio::io_context m_loop { 1 };
--- a/src/passthrough/types/entrydecision.h
+++ b/src/passthrough/types/entrydecision.h
@@ -28,8 +28,12 @@
     NoTable,
     NoRoute,
     NoServer,
+    // New flow: the first accepting server in the order of load, zone and rank; see EntryRouter.
+    LeastLoaded,
+    // Every accepting server is full for the route's priority.
+    ServiceFull,
 };
-constexpr std::size_t entryReasonCount = 7;
+constexpr std::size_t entryReasonCount = 9;
 
 std::string_view name(EntryReason reason);
 
--- /dev/null
+++ b/src/passthrough/types/serverloadrecord.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "foundation/iclock.h"
+
+#include <cstdint>
+
+namespace clementinesill::passthrough {
+
+// What a balancer knows about the load of one server. A fact is valid until its expiry.
+struct ServerLoadRecord {
+    MonotonicTime busyUntil;
+    MonotonicTime unansweredUntil;
+    MonotonicTime fullUntil;
+    // Highest priority (smallest number) for which the server is full.
+    std::uint32_t fullPriority = 0;
+    // When the last notice or retransmitted SYN was recorded.
+    MonotonicTime recordedAt;
+
+    bool expired(MonotonicTime now) const { return busyUntil <= now && unansweredUntil <= now && fullUntil <= now; }
+};
+
+} // namespace clementinesill::passthrough
