Hold SYNs at the agent until a slot is free, and limit the search for room

Cause: under a burst of four times the load, each rejected SYN visits up to 30 agents, queues at the server ignore priorities, and callers retransmit SYNs that wait for longer than 200 ms.

Change, effective with overload.waiting_openings above 0: - A SYN asks up to four servers for a free slot; the last one holds it in WaitingOpenings, ordered by AdmissionQueue, for at most a third of its route's latency target and 150 ms. If the queue rejects it, up to eight servers are asked in all. - The server has at most its slots and a reserve in flight (WorkEstimate); work is measured per route. - All checks run again before a held SYN is delivered. - The search asks two servers of a zone before it goes on to the next zone. - A retransmitted SYN is reset only if its search visited all accepting servers, since another server may have received an earlier copy; otherwise it is dropped.

Not measured on a deployment. The limits are the ones of docs/hard-load.md; the bounds of handshake samples and of the reserve are chosen, not measured.

--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -6,6 +6,7 @@
 #include "passthrough/types/trackedflow.h"
 
 #include <cstddef>
+#include <deque>
 #include <unordered_map>
 
 namespace clementinesill::passthrough {
@@ -44,13 +45,19 @@
     std::size_t size() const { return m_flows.size(); }
 
 private:
-    void finishRequest(TrackedFlow& flow, bool responded);
+    void beginRequest(const fleet::FlowKey& key, TrackedFlow& flow);
+    void occupySlot(TrackedFlow& flow);
+    void releaseSlot(TrackedFlow& flow);
+    void finishRequest(const fleet::FlowKey& key, TrackedFlow& flow, bool responded);
     bool expired(const TrackedFlow& flow, MonotonicTime now) const;
 
     ServerLoad& m_load;
     const IClock& m_clock;
     FlowTrackerOptions m_options;
     std::unordered_map<fleet::FlowKey, TrackedFlow> m_flows;
+    // Model of the server's slots: a request that finds them occupied starts when an earlier one ends, in order of arrival.
+    std::uint32_t m_occupiedSlots = 0;
+    std::deque<fleet::FlowKey> m_queuedRequests;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/flowtracker.cpp
+++ b/src/passthrough/internal/flowtracker.cpp
@@ -3,6 +3,8 @@
 #include "agent/internal/sequencewindow.h"
 #include "passthrough/types/flowpacket.h"
 
+#include <utility>
+
 namespace clementinesill::passthrough {
 
 namespace {
@@ -81,14 +83,19 @@
     flow.callerFinSeen = flow.callerFinSeen || packet.fin;
     flow.reset = flow.reset || packet.rst;
     const auto end = packet.sequence + packet.payloadBytes;
-    if (packet.payloadBytes && !flow.awaitsResponse && sequenceDistance(flow.nextCallerSequence, end) > 0) {
+    const bool newData = packet.payloadBytes && sequenceDistance(flow.nextCallerSequence, end) > 0;
+    if (newData && flow.awaitsResponse && !flow.requestSeen) {
+        m_load.workEstimate().recordHandshake(now - flow.requestTime);
+        beginRequest(packet.key, flow);
+    } else if (newData && !flow.awaitsResponse) {
         flow.awaitsResponse = true;
         flow.requestTime = now;
         m_load.requestStarted();
+        beginRequest(packet.key, flow);
     }
     advance(flow.nextCallerSequence, end);
     if (flow.closed() || flow.callerFinSeen)
-        finishRequest(flow, false);
+        finishRequest(packet.key, flow, false);
 }
 
 void FlowTracker::recordServerPacket(const FlowPacket& packet)
@@ -99,6 +106,7 @@
     auto& flow = entry->second;
     if (added) {
         flow.established = !packet.syn;
+        flow.requestSeen = true;
         flow.initialCallerSequence = packet.acknowledgement;
         flow.nextCallerSequence = packet.acknowledgement;
         flow.nextServerSequence = packet.sequence;
@@ -113,16 +121,48 @@
     if (packet.payloadBytes && flow.awaitsResponse && m_options.responseStarted)
         m_options.responseStarted(key, now - flow.requestTime);
     if (packet.payloadBytes)
-        finishRequest(flow, true);
+        finishRequest(key, flow, true);
     else if (flow.closed())
-        finishRequest(flow, false);
+        finishRequest(key, flow, false);
+}
+
+void FlowTracker::beginRequest(const fleet::FlowKey& key, TrackedFlow& flow)
+{
+    flow.requestSeen = true;
+    if (m_occupiedSlots < m_load.slots())
+        occupySlot(flow);
+    else
+        m_queuedRequests.push_back(key);
+}
+
+void FlowTracker::occupySlot(TrackedFlow& flow)
+{
+    flow.occupiesSlot = true;
+    flow.workStart = m_clock.now();
+    ++m_occupiedSlots;
+}
+
+void FlowTracker::releaseSlot(TrackedFlow& flow)
+{
+    if (!std::exchange(flow.occupiesSlot, false))
+        return;
+    --m_occupiedSlots;
+    while (!m_queuedRequests.empty() && m_occupiedSlots < m_load.slots()) {
+        const auto next = m_flows.find(m_queuedRequests.front());
+        m_queuedRequests.pop_front();
+        if (next != m_flows.end() && next->second.awaitsResponse && next->second.requestSeen && !next->second.occupiesSlot)
+            occupySlot(next->second);
+    }
 }
 
-void FlowTracker::finishRequest(TrackedFlow& flow, bool responded)
+void FlowTracker::finishRequest(const fleet::FlowKey& key, TrackedFlow& flow, bool responded)
 {
     if (!flow.awaitsResponse)
         return;
     flow.awaitsResponse = false;
+    if (responded && flow.occupiesSlot)
+        m_load.workEstimate().recordWork(key.service, m_clock.now() - flow.workStart);
+    releaseSlot(flow);
     if (responded)
         m_load.responseStarted(m_clock.now() - flow.requestTime);
     else
@@ -134,15 +174,16 @@
     const auto found = m_flows.find(key);
     if (found == m_flows.end())
         return;
-    finishRequest(found->second, false);
+    finishRequest(key, found->second, false);
     m_flows.erase(found);
 }
 
 void FlowTracker::clear()
 {
     for (auto& [key, flow] : m_flows)
-        finishRequest(flow, false);
+        finishRequest(key, flow, false);
     m_flows.clear();
+    m_queuedRequests.clear();
 }
 
 bool FlowTracker::expired(const TrackedFlow& flow, MonotonicTime now) const
@@ -161,7 +202,7 @@
             ++entry;
             continue;
         }
-        finishRequest(entry->second, false);
+        finishRequest(entry->first, entry->second, false);
         entry = m_flows.erase(entry);
     }
 }
--- a/src/passthrough/internal/packetrelay.cpp
+++ b/src/passthrough/internal/packetrelay.cpp
@@ -9,9 +9,12 @@
 #include "passthrough/flowtracker.h"
 #include "passthrough/internal/decisionlog.h"
 #include "passthrough/ipacketformat.h"
+#include "passthrough/loadreport.h"
 #include "passthrough/localserver.h"
 #include "passthrough/relayrouter.h"
 #include "passthrough/serverload.h"
+#include "passthrough/types/releasedopening.h"
+#include "passthrough/waitingopenings.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -37,6 +40,8 @@
     , m_pending(pendingCapacity)
     , m_unconfirmed(options.clock, unconfirmedCapacity)
     , m_callerWaitTime(options.metrics.histogram("opening_wait_seconds"))
+    , m_waitTimer(loop)
+    , m_loadNotices(options.metrics.counter("load_notices_sent_total"))
 {
     for (std::size_t reason = 0; reason < m_decisionCounters.size(); ++reason)
         m_decisionCounters[reason] = &options.metrics.counter("relay_packets_total", { { "reason", std::string(name(static_cast<RelayReason>(reason))) } });
@@ -79,6 +84,8 @@
     const Search search { .route = *message.route, .visited = message.visited, .newestKnownServer = message.newestKnownServer };
     const auto decision = m_options.router.decide(search, *packet, view(*table));
     applyDecision(decision, search, *packet, bytes);
+    if (m_options.router.mayRelease())
+        releaseWaiting();
 }
 
 void PacketRelay::onServerPacket(std::span<std::byte> datagram)
@@ -95,6 +102,8 @@
     }
     m_options.flows.recordServerPacket(*packet);
     sendToCaller(packet->flowOfServerPacket(), datagram);
+    if (m_options.router.mayRelease())
+        releaseWaiting();
 }
 
 void PacketRelay::onBouncedPacket(std::span<std::byte> datagram, const FlowPacket& packet)
@@ -110,11 +119,15 @@
     }
     m_options.format.setMark(datagram, 0);
     applyDecision(m_options.router.decideBounced(search, packet, view(*table)), search, packet, datagram);
+    if (m_options.router.mayRelease())
+        releaseWaiting();
 }
 
 void PacketRelay::applyDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::span<std::byte> bytes)
 {
     recordDecision(decision, search, packet);
+    if (m_options.sendLoadNotices && packet.opensFlow())
+        reportLoad(decision, search, packet);
     switch (decision.action) {
     case RelayAction::Deliver:
     case RelayAction::Open:
@@ -137,7 +150,67 @@
             m_options.requestConfirmation();
         }
         return;
+    case RelayAction::Wait:
+        m_options.waiting->setBytes(packet.key, bytes);
+        scheduleNextExpiry();
+        return;
+    }
+}
+
+void PacketRelay::releaseWaiting()
+{
+    if (!m_options.waiting || (m_options.waiting->empty() && !m_options.waiting->hasDisplaced()))
+        return;
+    const auto table = m_options.tables.table();
+    for (auto& released : m_options.router.releaseWaiting(view(*table))) {
+        recordHoldTime(released, *table);
+        applyDecision(released.decision, released.opening.search, released.opening.packet, released.opening.bytes);
     }
+    scheduleNextExpiry();
+}
+
+void PacketRelay::scheduleNextExpiry()
+{
+    const auto next = m_options.waiting->nextExpiry();
+    // A timer that expires too early is set again then.
+    if (!next || (m_timerExpiry && *m_timerExpiry <= *next))
+        return;
+    m_timerExpiry = next;
+    m_waitTimer.expires_after(*next - m_options.clock.now());
+    m_waitTimer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        m_timerExpiry.reset();
+        releaseWaiting();
+    });
+}
+
+void PacketRelay::recordHoldTime(const ReleasedOpening& released, const fleet::FleetTable& table)
+{
+    const auto& endpoint = released.opening.packet.key.service;
+    auto& histogram = m_holdTimes[endpoint];
+    if (!histogram) {
+        const auto* route = table.route(endpoint);
+        histogram = &m_options.metrics.histogram("opening_hold_seconds", { { "route", route ? route->name : format(endpoint) } });
+    }
+    histogram->record(std::chrono::duration<double>(m_options.clock.now() - released.opening.arrivedAt).count());
+}
+
+void PacketRelay::reportLoad(const RelayDecision& decision, const Search& search, const FlowPacket& packet)
+{
+    if (!search.route.balancer.port)
+        return;
+    const auto table = m_options.tables.table();
+    const auto* route = table->route(packet.key.service);
+    const auto notice = makeLoadNotice(decision, search, m_serverId, route ? route->priority : 0);
+    if (!notice)
+        return;
+    dataplane::GeneveMessage message;
+    message.serviceId = search.route.serviceId;
+    message.control = true;
+    message.loadNotice = notice;
+    m_daemonSocket.send(message, {}, search.route.balancer);
+    ++m_loadNotices;
 }
 
 void PacketRelay::recordDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet)
@@ -150,6 +223,9 @@
         return;
     if (decision.action == RelayAction::Open)
         m_callerWaitTime.record(std::chrono::duration<double>(packet.callerWaitTime()).count());
+    // The server admits waiting SYNs while it has no room for others.
+    if (decision.reason == RelayReason::AdmittedAfterWait)
+        return;
     if (const auto state = m_admissionMonitor.update(decision.rejectReason))
         log(LogLevel::Info, *state == RelayReason::Admitted ? "admission_opened" : "admission_closed", { { .key = logkey::reason, .value = std::string(name(*state)) }, { .key = "outstanding", .value = std::to_string(m_options.load.outstanding()) }, { .key = "table", .value = std::to_string(m_tableVersion) } });
 }
--- a/src/passthrough/internal/packetrelay.h
+++ b/src/passthrough/internal/packetrelay.h
@@ -10,6 +10,9 @@
 #include "passthrough/unconfirmedsearches.h"
 
 #include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <optional>
 
 namespace clementinesill {
 class Histogram;
@@ -21,6 +24,8 @@
 
 namespace clementinesill::passthrough {
 
+struct ReleasedOpening;
+
 // Relays packets between daemons, the server on this agent's VM and callers, as decided by the router.
 class PacketRelay {
 public:
@@ -36,6 +41,10 @@
     // Sets the server identity that notifications to balancers and the visited lists of packets carry.
     void setServer(std::uint32_t serverId, std::uint32_t incarnation);
 
+    // Delivers, forwards or resets the SYNs that no longer wait. Called when the state of the server or the table has changed;
+    // packets and the end of a wait lead to it without a call.
+    void releaseWaiting();
+
 private:
     void onDaemonPacket(std::span<std::byte> datagram);
     void onServerPacket(std::span<std::byte> datagram);
@@ -44,6 +53,9 @@
     void deliverToServer(const FlowPacket& packet, std::span<std::byte> bytes, std::uint32_t mark);
     agent::TableView view(const fleet::FleetTable& table) const;
     void forwardToAgent(const RelayDecision& decision, Search search, std::span<const std::byte> bytes);
+    void scheduleNextExpiry();
+    void recordHoldTime(const ReleasedOpening& released, const fleet::FleetTable& table);
+    void reportLoad(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
     void notifyBalancer(const Search& search, const fleet::FlowKey& key);
     void recordDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
     RelayDecisionContext decisionContext(const FlowPacket& packet) const;
@@ -62,6 +74,12 @@
     // Indexed by RelayReason.
     std::array<Counter*, relayReasonCount> m_decisionCounters {};
     Histogram& m_callerWaitTime;
+    // Runs only while a SYN waits.
+    boost::asio::steady_timer m_waitTimer;
+    std::optional<MonotonicTime> m_timerExpiry;
+    // Indexed by the route's endpoint.
+    std::map<Endpoint, Histogram*> m_holdTimes;
+    Counter& m_loadNotices;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/packetrelayoptions.h
+++ b/src/passthrough/internal/packetrelayoptions.h
@@ -21,6 +21,7 @@
 class LocalServer;
 class RelayRouter;
 class ServerLoad;
+class WaitingOpenings;
 
 // Endpoints and collaborators of a PacketRelay. The references must outlive it.
 struct PacketRelayOptions {
@@ -41,6 +42,10 @@
     // Called when the leader should confirm the table; PacketRelay::onTableConfirmed() is called in response.
     std::function<void()> requestConfirmation;
     const IClock& clock;
+    // The router's waiting SYNs; null if none wait.
+    WaitingOpenings* waiting = nullptr;
+    // Whether to report busy and full servers to balancers.
+    bool sendLoadNotices = false;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -20,6 +20,7 @@
 #include "passthrough/localserver.h"
 #include "passthrough/passthroughmodules.h"
 #include "passthrough/relayrouter.h"
+#include "passthrough/waitingopenings.h"
 #include "settings.pb.h"
 
 #include <algorithm>
@@ -69,8 +70,8 @@
         , m_server(m_clock, m_heartbeatInterval)
         , m_coldStartLimit(m_clock, { .factor = m_settings.cold_factor(), .extraFlows = m_settings.cold_extra_flows() })
         , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .responseStarted = [this](const auto& flow, auto elapsed) { recordResponseTime(flow, elapsed); } })
-        , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .coldStartLimit = m_coldStartLimit, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()) })
-        , m_relay(m_loop, { .daemonEndpoint = parseEndpoint(m_settings.packet_endpoint()), .serverPacketEndpoint = parseEndpoint(m_settings.server_packets_endpoint()), .serverEndpoint = m_serverEndpoint, .format = format, .router = m_router, .flows = m_flows, .load = m_load, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .onTableChanged = [this](const auto& table) { onTableChanged(table); }, .requestConfirmation = [this] { m_registrar->requestRenewal(); }, .clock = m_clock })
+        , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .coldStartLimit = m_coldStartLimit, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .waiting = waiting() })
+        , m_relay(m_loop, { .daemonEndpoint = parseEndpoint(m_settings.packet_endpoint()), .serverPacketEndpoint = parseEndpoint(m_settings.server_packets_endpoint()), .serverEndpoint = m_serverEndpoint, .format = format, .router = m_router, .flows = m_flows, .load = m_load, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .onTableChanged = [this](const auto& table) { onTableChanged(table); }, .requestConfirmation = [this] { m_registrar->requestRenewal(); }, .clock = m_clock, .waiting = waiting(), .sendLoadNotices = m_settings.overload().load_notices() })
     {
     }
 
@@ -112,6 +113,7 @@
             if (!m_server.markShutDown(name))
                 return;
             log(LogLevel::Info, "server_left", { { .key = logkey::server, .value = name } });
+            m_relay.releaseWaiting();
             m_registrar->setServerGone();
         });
     }
@@ -140,6 +142,9 @@
         m_metrics.describe("opening_wait_seconds", "how long callers had waited when their flow was taken, by their copies of the opening packet");
         m_metrics.describe("relay_packets_total", "packets by what was decided about them");
         m_metrics.describe("answer_seconds", "time from a request to the first byte of its answer, by route");
+        m_metrics.describe("opening_hold_seconds", "how long opening packets waited at the agent, by route");
+        m_metrics.describe("load_notices_sent_total", "reports of busy or full servers sent to balancers");
+        m_metrics.addGauge("openings_held", {}, [this] { return readOnLoop([this] { return static_cast<double>(m_waiting.size()); }); });
         addTableMetrics(m_metrics, m_fleet.tables(), m_clock);
         m_metrics.addGauge("server_outstanding", {}, [this] { return readOnLoop([this] { return static_cast<double>(m_load.outstanding()); }); });
         m_metrics.addGauge("server_expected_wait_seconds", {}, [this] { return readOnLoop([this] { return std::chrono::duration<double>(m_load.expectedQueueingDelay()).count(); }); });
@@ -183,6 +188,7 @@
         if (result == HeartbeatResult::NewInstance)
             onNewInstance(heartbeat, isFirstHeartbeat);
         m_coldStartLimit.setColdFor(heartbeat.coldRemaining);
+        m_relay.releaseWaiting();
         if (result == HeartbeatResult::Unchanged)
             return;
         log(LogLevel::Info, result == HeartbeatResult::NewInstance ? "server_started" : "server_drain_changed", { { .key = logkey::server, .value = heartbeat.name }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "cold_ms", .value = std::to_string(heartbeat.coldRemaining.count()) } });
@@ -239,6 +245,7 @@
             logSilenceChange();
             onTableChanged(*m_fleet.tables().table());
             m_flows.expire();
+            m_relay.releaseWaiting();
             timer.expires_after(m_registration.serverId && !m_fleet.tables().table()->server(m_registration.serverId) ? registrationPollInterval : maintenanceInterval);
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
@@ -268,8 +275,12 @@
         if (m_zoneOut != out)
             log(LogLevel::Info, out ? "zone_out" : "zone_returned", { { .key = logkey::zone, .value = m_zone }, { .key = logkey::version, .value = std::to_string(m_tableVersion) } });
         m_zoneOut = out;
+        m_relay.releaseWaiting();
     }
 
+    // Null if the settings let no SYN wait.
+    WaitingOpenings* waiting() { return m_settings.overload().waiting_openings() ? &m_waiting : nullptr; }
+
     const std::string m_zone;
     const std::string m_service;
     const Endpoint m_endpoint;
@@ -287,6 +298,7 @@
     ColdStartLimit m_coldStartLimit;
     FlowTracker m_flows;
     agent::MissLog m_misses { missLogCapacity };
+    WaitingOpenings m_waiting { { .maximumLength = m_settings.overload().waiting_openings() }, m_clock };
     RelayRouter m_router;
     PacketRelay m_relay;
     fleet::Registration m_registration;
--- a/src/passthrough/internal/relaydecision.cpp
+++ b/src/passthrough/internal/relaydecision.cpp
@@ -6,7 +6,7 @@
 
 std::string_view name(RelayAction action)
 {
-    static constexpr std::array<std::string_view, 6> names { "deliver", "open", "ask", "pass_on", "reset", "drop" };
+    static constexpr std::array<std::string_view, 7> names { "deliver", "open", "ask", "pass_on", "reset", "drop", "wait" };
     return names.at(static_cast<std::size_t>(action));
 }
 
@@ -36,6 +36,12 @@
         "search_bounded",
         "search_budget_spent",
         "reset_not_held",
+        "waits",
+        "admitted_after_wait",
+        "displaced",
+        "wait_expired",
+        "already_waiting",
+        "repetition_not_placed",
     };
     return names.at(static_cast<std::size_t>(reason));
 }
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -1,5 +1,6 @@
 #include "passthrough/relayrouter.h"
 
+#include "admission/types/queuetraits.h"
 #include "agent/imisslog.h"
 #include "agent/types/tableview.h"
 #include "fleet/fleettable.h"
@@ -8,14 +9,18 @@
 #include "passthrough/coldstartlimit.h"
 #include "passthrough/flowtracker.h"
 #include "passthrough/localserver.h"
+#include "passthrough/roomsearch.h"
 #include "passthrough/serverload.h"
 #include "passthrough/types/flowpacket.h"
+#include "passthrough/types/releasedopening.h"
 #include "passthrough/types/search.h"
+#include "passthrough/waitingopenings.h"
 #include "passthrough/zonerank.h"
 
 #include <compare>
 #include <optional>
 #include <span>
+#include <utility>
 
 namespace clementinesill::passthrough {
 
@@ -91,6 +96,8 @@
     const auto* held = m_options.flows.find(packet.key);
     if (held && held->initialCallerSequence == packet.sequence && !held->reset)
         return { .action = RelayAction::Deliver, .reason = RelayReason::SynRetransmission };
+    if (m_options.waiting && m_options.waiting->holds(packet))
+        return drop(RelayReason::AlreadyWaiting);
     const auto* route = view.table.route(packet.key.service);
     // A sender with a newer table may have a route that this agent's table lacks.
     if (!senderHasNewerTable(search, view) && !route)
@@ -98,14 +105,87 @@
     const auto reason = checkAdmission(search, targetService(search, packet, view), view);
     if (reason != RelayReason::Admitted && reason != RelayReason::Busy)
         return forwardNewFlow(search, packet, view, reason);
-    if (reason == RelayReason::Busy) {
-        const auto decision = forwardNewFlow(search, packet, view, reason);
-        if (decision.action == RelayAction::Forward || !mayQueue(packet, route))
-            return decision;
-    }
+    if (reason == RelayReason::Admitted)
+        return openFlow(packet, RelayReason::Admitted);
+    if (m_options.waiting)
+        return decideWithoutFreeSlot(search, packet, route, view);
+    const auto decision = forwardNewFlow(search, packet, view, reason);
+    if (decision.action == RelayAction::Forward || !mayQueue(packet, route))
+        return decision;
+    return openFlow(packet, RelayReason::AdmittedToQueue);
+}
+
+RelayDecision RelayRouter::openFlow(const FlowPacket& packet, RelayReason reason)
+{
     m_options.flows.open(packet);
     m_options.coldStartLimit.recordFlow();
-    return { .action = RelayAction::Open, .reason = reason == RelayReason::Busy ? RelayReason::AdmittedToQueue : RelayReason::Admitted };
+    return { .action = RelayAction::Open, .reason = reason };
+}
+
+// Answers bursts of several times the capacity. A SYN that finds no free slot waits here instead of in the server's queue, so
+// that a later one with a higher priority can go before it. Retransmissions do not wait; see mayQueue().
+RelayDecision RelayRouter::decideWithoutFreeSlot(const Search& search, const FlowPacket& packet, const fleet::RouteEntry* route, const agent::TableView& view)
+{
+    const auto forwarded = forwardNewFlow(search, packet, view, RelayReason::Busy);
+    const bool mayAskOthers = search.visited.size() + 1 < serversAskedForSlot && forwarded.action == RelayAction::Forward;
+    if (packet.synRetransmissions() || mayAskOthers)
+        return forwarded;
+    auto& waiting = *m_options.waiting;
+    if (waiting.empty() && m_options.load.hasRoom())
+        return openFlow(packet, RelayReason::AdmittedToQueue);
+    // A caller that opens another flow from the same port has given up the earlier one.
+    waiting.erase(packet.key);
+    const auto& load = m_options.load;
+    const auto traits = waitingTraits(route, load.workEstimate().work(packet.key.service), m_options.clock.now());
+    if (!waiting.add(packet, search, traits, load.roomExpectedIn(), load.timePerStart()))
+        return forwarded;
+    return { .action = RelayAction::Wait, .reason = RelayReason::WaitsForSlot, .rejectReason = RelayReason::Busy };
+}
+
+bool RelayRouter::hasFreeSlot() const
+{
+    return m_options.load.hasFreeSlot() && (!m_options.waiting || m_options.waiting->empty());
+}
+
+bool RelayRouter::mayRelease() const
+{
+    const auto* waiting = m_options.waiting;
+    return waiting && (waiting->hasDisplaced() || (!waiting->empty() && m_options.load.hasRoom()));
+}
+
+std::vector<ReleasedOpening> RelayRouter::releaseWaiting(const agent::TableView& view)
+{
+    std::vector<ReleasedOpening> released;
+    if (!m_options.waiting)
+        return released;
+    auto& waiting = *m_options.waiting;
+    const auto reject = [&released](std::vector<WaitingOpening> openings, RelayReason reason) {
+        for (auto& opening : openings) {
+            auto decision = reset(reason);
+            decision.rejectReason = RelayReason::Busy;
+            released.push_back({ .decision = decision, .opening = std::move(opening) });
+        }
+    };
+    reject(waiting.takeDisplaced(), RelayReason::Displaced);
+    reject(waiting.takeExpired(), RelayReason::WaitExpired);
+    const bool accepting = checkServer(view) == RelayReason::Admitted;
+    while (!waiting.empty() && (!accepting || m_options.load.hasRoom())) {
+        auto opening = waiting.takeNext();
+        if (!opening)
+            break;
+        const auto decision = decideReleased(*opening, view);
+        released.push_back({ .decision = decision, .opening = std::move(*opening) });
+    }
+    return released;
+}
+
+RelayDecision RelayRouter::decideReleased(const WaitingOpening& opening, const agent::TableView& view)
+{
+    const auto& [packet, search, bytes, arrivedAt] = opening;
+    if (!senderHasNewerTable(search, view) && !view.table.route(packet.key.service))
+        return reset(RelayReason::NoRoute);
+    const auto reason = checkTarget(search, targetService(search, packet, view), view);
+    return reason == RelayReason::Admitted ? openFlow(packet, RelayReason::AdmittedAfterWait) : forwardNewFlow(search, packet, view, reason);
 }
 
 // Returns the id of the service that the flow is for. A balancer with an older table may have chosen a service that is no
@@ -121,22 +201,39 @@
 // Returns Admitted if this server accepts a new flow, otherwise the reason for rejecting it.
 RelayReason RelayRouter::checkAdmission(const Search& search, std::uint32_t serviceId, const agent::TableView& view)
 {
-    const auto& server = m_options.server;
+    const auto reason = checkTarget(search, serviceId, view);
+    if (reason != RelayReason::Admitted)
+        return reason;
+    return hasFreeSlot() ? RelayReason::Admitted : RelayReason::Busy;
+}
+
+// The checks of a new flow apart from the load of the server.
+RelayReason RelayRouter::checkTarget(const Search& search, std::uint32_t serviceId, const agent::TableView& view)
+{
     const auto* self = view.table.server(m_serverId);
     const auto* service = view.table.service(m_serviceId);
-    if (!self || !service || server.hasShutDown())
+    if (!self || !service || m_options.server.hasShutDown())
         return RelayReason::NoServer;
     if (serviceId != m_serviceId || search.route.serverId != m_serverId || search.route.incarnation != self->incarnation)
         return RelayReason::WrongTarget;
+    const auto reason = checkServer(view);
+    if (reason != RelayReason::Admitted)
+        return reason;
+    return m_options.coldStartLimit.allows(service->coldFlowsPerSecond) ? RelayReason::Admitted : RelayReason::ColdStart;
+}
+
+// The checks that are the same for all new flows at a time.
+RelayReason RelayRouter::checkServer(const agent::TableView& view) const
+{
+    const auto& server = m_options.server;
+    const auto* self = view.table.server(m_serverId);
+    if (!self || server.hasShutDown())
+        return RelayReason::NoServer;
     if (server.silent())
         return RelayReason::ServerSilent;
     if (m_shuttingDown || server.draining() || self->draining)
         return RelayReason::Draining;
-    if (self->zoneOut)
-        return RelayReason::ZoneOut;
-    if (!m_options.coldStartLimit.allows(service->coldFlowsPerSecond))
-        return RelayReason::ColdStart;
-    return m_options.load.hasFreeSlot() ? RelayReason::Admitted : RelayReason::Busy;
+    return self->zoneOut ? RelayReason::ZoneOut : RelayReason::Admitted;
 }
 
 // After an outage, waiting callers retry all at once, together with new callers. If they were allowed to fill the queue, all
@@ -153,18 +250,32 @@
 
 RelayDecision RelayRouter::forwardNewFlow(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason rejectReason) const
 {
-    auto decision = senderHasNewerTable(search, view) ? drop(RelayReason::TableStale) : reset(RelayReason::RejectedByAllServers);
-    if (const auto* server = nextAcceptingServer(search, packet, view))
+    auto decision = reset(RelayReason::RejectedByAllServers);
+    if (senderHasNewerTable(search, view))
+        decision = drop(RelayReason::TableStale);
+    else if (packet.synRetransmissions() && mayOverlookServer(search, packet, view))
+        decision = drop(RelayReason::RetransmissionNotPlaced);
+    const bool lacksRoom = rejectReason == RelayReason::Busy || rejectReason == RelayReason::Bounced;
+    const bool searchEnds = m_options.waiting && lacksRoom && search.visited.size() + 1 >= serversAskedForRoom;
+    if (const auto* server = searchEnds ? nullptr : nextAcceptingServer(search, packet, view))
         decision = forwardTo(*server, rejectReason);
     decision.rejectReason = rejectReason;
     return decision;
 }
 
+// Whether the search may end without having visited a server that accepts new flows, because its length is limited.
+bool RelayRouter::mayOverlookServer(const Search& search, const FlowPacket& packet, const agent::TableView& view) const
+{
+    return m_options.waiting && (search.visited.size() >= dataplane::maximumVisited || nextAcceptingServer(search, packet, view));
+}
+
 const fleet::ServerEntry* RelayRouter::nextAcceptingServer(const Search& search, const FlowPacket& packet, const agent::TableView& view) const
 {
     const auto* service = view.table.service(targetService(search, packet, view));
     if (!service || search.visited.size() >= dataplane::maximumVisited)
         return nullptr;
+    if (m_options.waiting)
+        return nextServerForRoom(search, fleet::hash(packet.key, view.table.hashSeed()), *service, view.table.route(packet.key.service), view.table, m_serverId, m_options.zone);
     for (const auto* server : rankServersForZone(fleet::hash(packet.key, view.table.hashSeed()), service->servers, m_options.zone)) {
         if (server->id != m_serverId && server->accepting() && !search.hasVisited(server->id))
             return server;
--- a/src/passthrough/internal/serverload.cpp
+++ b/src/passthrough/internal/serverload.cpp
@@ -32,4 +32,11 @@
     return m_serviceTime * (m_outstanding - m_slots + 1) / m_slots;
 }
 
+Duration ServerLoad::roomExpectedIn() const
+{
+    if (hasRoom())
+        return Duration::zero();
+    return timePerStart() * (m_outstanding - m_slots - m_workEstimate.reserve(m_slots) + 1);
+}
+
 } // namespace clementinesill::passthrough
--- a/src/passthrough/serverload.h
+++ b/src/passthrough/serverload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foundation/iclock.h"
+#include "passthrough/workestimate.h"
 
 #include <cstdint>
 
@@ -28,11 +29,24 @@
     // How long a request that arrives now would wait for a slot.
     Duration expectedQueueingDelay() const;
 
+    std::uint32_t slots() const { return m_slots; }
+
+    WorkEstimate& workEstimate() { return m_workEstimate; }
+    const WorkEstimate& workEstimate() const { return m_workEstimate; }
+
+    // Whether fewer requests are in flight than the slots and their reserve hold; see WorkEstimate::reserve().
+    bool hasRoom() const { return m_outstanding < m_slots + m_workEstimate.reserve(m_slots); }
+
+    // Expected time until hasRoom() returns true, and mean time between two slots becoming free.
+    Duration roomExpectedIn() const;
+    Duration timePerStart() const { return m_workEstimate.meanWork() / m_slots; }
+
 private:
     std::uint32_t m_slots = 1;
     std::uint32_t m_outstanding = 0;
     // Moving average of the time that a request occupies a slot.
     Duration m_serviceTime = std::chrono::milliseconds(30);
+    WorkEstimate m_workEstimate;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/types/relaydecision.h
+++ b/src/passthrough/types/relaydecision.h
@@ -20,6 +20,8 @@
     // Tell the caller that the flow is not open.
     Reset,
     Drop,
+    // Hold the SYN of the new flow until the server has room for it.
+    Wait,
 };
 
 enum class RelayReason {
@@ -57,8 +59,21 @@
     SearchBudgetSpent,
     // A caller's reset for a flow that is not held; it must not trigger another reset.
     ResetForUnknownFlow,
+    // The SYN waits at the agent for a slot.
+    WaitsForSlot,
+    // A waiting SYN was admitted.
+    AdmittedAfterWait,
+    // A waiting SYN made room for those that go before it.
+    Displaced,
+    // A SYN has waited for as long as it may.
+    WaitExpired,
+    // A retransmission of a SYN that waits here.
+    AlreadyWaiting,
+    // A retransmitted SYN found no free slot. It is not reset, since a server that was not visited may have received an earlier
+    // copy.
+    RetransmissionNotPlaced,
 };
-constexpr std::size_t relayReasonCount = 23;
+constexpr std::size_t relayReasonCount = 29;
 
 std::string_view name(RelayAction action);
 std::string_view name(RelayReason reason);
--- a/src/passthrough/types/relayrouteroptions.h
+++ b/src/passthrough/types/relayrouteroptions.h
@@ -19,6 +19,7 @@
 class FlowTracker;
 class LocalServer;
 class ServerLoad;
+class WaitingOpenings;
 
 // Settings and collaborators of a RelayRouter. The references must outlive it.
 struct RelayRouterOptions {
@@ -31,6 +32,9 @@
     const IClock& clock;
     // Maximum lifetime of a flow. An agent that has run for longer tracks all flows of its server.
     Duration flowLifetime = std::chrono::seconds(60);
+    // If set, a new flow that finds no free slot waits here instead of in the server's queue, and the search for room is
+    // limited; see roomsearch.h.
+    WaitingOpenings* waiting = nullptr;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/types/trackedflow.h
+++ b/src/passthrough/types/trackedflow.h
@@ -18,6 +18,10 @@
     bool reset = false;
     // A request has no response yet; set on opening, before the first request arrives.
     bool awaitsResponse = false;
+    // The first byte of the flow's first request has arrived, or the flow was opened before this agent started.
+    bool requestSeen = false;
+    // The request that awaits a response has a slot, as far as the agent can tell, since workStart.
+    bool occupiesSlot = false;
     // Sequence number of the SYN, or of the server's first acknowledgement if the flow was opened before this agent started.
     std::uint32_t initialCallerSequence = 0;
     // One past the highest sequence number that the caller has sent.
@@ -27,6 +31,7 @@
     std::uint32_t nextServerSequence = 0;
     // When the request that awaits a response arrived.
     MonotonicTime requestTime;
+    MonotonicTime workStart;
     MonotonicTime lastPacketTime;
 
     bool closed() const { return reset || (callerFinSeen && serverFinSeen); }
