Limit a balancer's sending to the rate of its link, and handle open flows first

In a burst, callers retransmit each SYN twice and repeat each attempt twice. The SYNs queue at the entry VM's link before the packets of open flows, so accepted requests miss their timeout and SYNs reach servers after their callers gave up.

LinkBudget is a token bucket of 50 ms at the rate of overload.link_mbps. Each class of datagrams leaves a reserve for the classes before it; packets of open flows always pass. LinkAdmission applies it to the router's decisions: a first SYN without budget is reset, or dropped if resets have none either; a retransmitted SYN is dropped, since an earlier copy may have reached a server. With the overload section in the settings, the balancer reads all arrived datagrams with one recvmmsg and handles packets of open flows, first SYNs by priority, and retransmitted SYNs in this order; it places at most 64 SYNs per wake-up. Without the section it reads one datagram at a time, and nothing is limited.

The reserves of the SYN classes, 64 SYNs per wake-up and 256 datagrams per read are chosen, not measured.

--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -12,7 +12,7 @@
 
 std::string_view name(EntryReason reason)
 {
-    static constexpr std::array<std::string_view, entryReasonCount> names { "first_accepting", "next_accepting", "cache_hit", "first_in_rank", "no_table", "no_route", "no_server" };
+    static constexpr std::array<std::string_view, entryReasonCount> names { "first_accepting", "next_accepting", "cache_hit", "first_in_rank", "no_link_budget", "batch_full", "no_table", "no_route", "no_server" };
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/passthrough/internal/packetsocket.cpp
+++ b/src/passthrough/internal/packetsocket.cpp
@@ -2,6 +2,7 @@
 
 #include "dataplane/genevecodec.h"
 #include "net/udpsocket.h"
+#include "passthrough/internal/datagrambatch.h"
 
 #include <array>
 #include <boost/asio/post.hpp>
@@ -39,6 +40,16 @@
     }
 }
 
+asio::awaitable<void> PacketSocket::runBatches(BatchHandler handler)
+{
+    const auto batch = std::make_unique<DatagramBatch>();
+    while (true) {
+        co_await m_socket.async_wait(asio::posix::stream_descriptor::wait_read, asio::use_awaitable);
+        if (const auto datagrams = batch->receive(m_socket.native_handle()); !datagrams.empty())
+            handler(datagrams);
+    }
+}
+
 bool PacketSocket::send(std::span<const std::byte> packet, const Endpoint& target)
 {
     return net::sendDatagram(m_socket.native_handle(), {}, packet, target);
--- a/src/passthrough/internal/packetsocket.h
+++ b/src/passthrough/internal/packetsocket.h
@@ -21,12 +21,18 @@
 public:
     using Handler = std::function<void(std::span<std::byte> datagram)>;
 
+    // Gets the datagrams of one wake-up in order of arrival.
+    using BatchHandler = std::function<void(std::span<const std::span<std::byte>> datagrams)>;
+
     // Binds the socket. Throws Error (AddressInUse or Network).
     PacketSocket(boost::asio::io_context& loop, const Endpoint& endpoint);
 
     // Calls the handler for each received datagram until the loop is stopped.
     boost::asio::awaitable<void> run(Handler handler);
 
+    // The same, but with all datagrams that one system call reads at once, so that the handler can choose their order.
+    boost::asio::awaitable<void> runBatches(BatchHandler handler);
+
     // Sends the packet unchanged. Returns false if the kernel rejected it.
     bool send(std::span<const std::byte> packet, const Endpoint& target);
 
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -9,18 +9,22 @@
 #include "foundation/metrics.h"
 #include "foundation/systemclock.h"
 #include "net/ilistener.h"
+#include "passthrough/entryorder.h"
 #include "passthrough/entryrouter.h"
 #include "passthrough/internal/decisionlog.h"
 #include "passthrough/internal/packetsocket.h"
 #include "passthrough/internal/tablemetrics.h"
 #include "passthrough/ipacketformat.h"
+#include "passthrough/linkadmission.h"
 #include "passthrough/passthroughmodules.h"
+#include "passthrough/types/entrypacket.h"
 #include "settings.pb.h"
 
 #include <array>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <limits>
 #include <thread>
 
 namespace clementinesill::passthrough {
@@ -34,6 +38,26 @@
 // flight.
 constexpr std::chrono::milliseconds drainDelay { 2200 };
 
+LinkAdmissionOptions linkAdmissionOptions(const schema::PassThroughSettings& settings, const IPacketFormat& format)
+{
+    constexpr double bytesPerMegabit = 1e6 / 8;
+    std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
+    dataplane::GeneveMessage message;
+    message.route.emplace();
+    return {
+        .bytesPerSecond = settings.overload().link_mbps() * bytesPerMegabit,
+        .forwardHeaderBytes = dataplane::encodeGeneveHeader(message, header),
+        .resetBytes = format.makeReset({}).size(),
+    };
+}
+
+// The lowest priority for an address without a route.
+std::uint32_t priorityOf(const FlowPacket& packet, const fleet::FleetTable& table)
+{
+    const auto* route = table.route(packet.key.service);
+    return route ? route->priority : std::numeric_limits<std::uint32_t>::max();
+}
+
 class PassThroughBalancer final : public IRoleModule {
 public:
     PassThroughBalancer(const schema::DaemonSettings& settings, fleet::IFleetClient& fleet, const IPacketFormat& format, const ReadyListenerFactory& makeReadyListener, MetricsRegistry& metrics)
@@ -44,6 +68,7 @@
         , m_metrics(metrics)
         , m_cache(settings.balancer().flow_cache_entries() ? settings.balancer().flow_cache_entries() : defaultCacheEntries)
         , m_router(m_cache, settings.zone())
+        , m_linkAdmission(linkAdmissionOptions(m_settings, format), m_clock, metrics)
         , m_peerEndpoint(parseEndpoint(m_settings.peer_endpoint()))
         , m_callerPort(parseEndpoint(m_settings.packet_endpoint()).port)
         , m_callerSocket(m_loop, parseEndpoint(m_settings.packet_endpoint()))
@@ -59,7 +84,10 @@
 
     void start() override
     {
-        asio::co_spawn(m_loop, m_callerSocket.run([this](auto datagram) { onCallerPacket(datagram); }), asio::detached);
+        if (m_settings.has_overload())
+            asio::co_spawn(m_loop, m_callerSocket.runBatches([this](auto datagrams) { onCallerPackets(datagrams); }), asio::detached);
+        else
+            asio::co_spawn(m_loop, m_callerSocket.run([this](auto datagram) { onCallerPackets({ &datagram, 1 }); }), asio::detached);
         asio::co_spawn(m_loop, m_peerSocket.run([this](auto datagram) { onAgentPacket(datagram); }), asio::detached);
         m_thread = std::thread([this] { m_loop.run(); });
         m_readyListener = m_makeReadyListener(m_settings.ready_endpoint(), [this] { return !m_shuttingDown && m_fleet.tables().table()->documentVersion(); });
@@ -78,21 +106,33 @@
     }
 
 private:
-    void onCallerPacket(std::span<const std::byte> bytes)
+    // Handles the packets read in one wake-up, those of open flows first.
+    void onCallerPackets(std::span<const std::span<std::byte>> datagrams)
     {
-        const auto packet = m_format.decode(bytes);
-        if (!packet) {
-            ++m_metrics.counter("entry_malformed_total");
-            return;
-        }
         const auto table = m_fleet.tables().table();
-        const auto decision = m_router.decide(*packet, *table);
+        m_batch.clear();
+        for (const auto& bytes : datagrams) {
+            if (const auto packet = m_format.decode(bytes))
+                m_batch.push_back({ .packet = *packet, .bytes = bytes, .priority = priorityOf(*packet, *table) });
+            else
+                ++m_metrics.counter("entry_malformed_total");
+        }
+        const auto handled = orderEntryPackets(m_batch);
+        for (std::size_t index = 0; index < m_batch.size(); ++index) {
+            const auto& entry = m_batch[index];
+            const auto decision = index < handled ? m_linkAdmission.admit(m_router.decide(entry.packet, *table), entry) : m_linkAdmission.reject(EntryReason::BatchFull, entry);
+            apply(decision, entry, *table);
+        }
+    }
+
+    void apply(const EntryDecision& decision, const EntryPacket& entry, const fleet::FleetTable& table)
+    {
         ++*m_decisionCounters.at(static_cast<std::size_t>(decision.reason));
-        logDecision(decision, *packet, table->version());
+        logDecision(decision, entry.packet, table.version());
         if (decision.action == EntryAction::Forward)
-            forward(decision, *table, bytes);
+            forward(decision, table, entry.bytes);
         else if (decision.action == EntryAction::Reset)
-            m_callerSocket.send(m_format.makeReset(*packet), { .address = packet->key.caller.address, .port = m_callerPort });
+            m_callerSocket.send(m_format.makeReset(entry.packet), { .address = entry.packet.key.caller.address, .port = m_callerPort });
     }
 
     void forward(const EntryDecision& decision, const fleet::FleetTable& table, std::span<const std::byte> bytes)
@@ -129,6 +169,8 @@
     MetricsRegistry& m_metrics;
     dataplane::FlowCache m_cache;
     EntryRouter m_router;
+    LinkAdmission m_linkAdmission;
+    std::vector<EntryPacket> m_batch;
     const Endpoint m_peerEndpoint;
     const std::uint16_t m_callerPort;
     asio::io_context m_loop { 1 };
--- a/src/passthrough/types/entrydecision.h
+++ b/src/passthrough/types/entrydecision.h
@@ -25,11 +25,15 @@
     CacheHit,
     // The flow is not in the cache: the first server in the zone's ranking.
     FirstInRank,
+    // The entry link has no room for the packet's class.
+    NoLinkBudget,
+    // More openings arrived in one wake-up than are handled.
+    BatchFull,
     NoTable,
     NoRoute,
     NoServer,
 };
-constexpr std::size_t entryReasonCount = 7;
+constexpr std::size_t entryReasonCount = 9;
 
 std::string_view name(EntryReason reason);
 
