--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -56,7 +56,7 @@
 
 std::string_view name(EntryReason reason)
 {
-    static constexpr std::array<std::string_view, entryReasonCount> names { "first_accepting", "next_accepting", "cache_hit", "first_in_rank", "no_table", "no_route", "no_server", "least_loaded", "service_full" };
+    static constexpr std::array<std::string_view, entryReasonCount> names { "first_accepting", "next_accepting", "cache_hit", "first_in_rank", "no_link_budget", "batch_full", "no_table", "no_route", "no_server", "least_loaded", "service_full" };
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/passthrough/types/entrydecision.h
+++ b/src/passthrough/types/entrydecision.h
@@ -25,6 +25,10 @@
     CacheHit,
     // The flow is not in the cache: the first server in the zone's ranking.
     FirstInRank,
+    // The entry link has no room for the packet's class.
+    NoLinkBudget,
+    // More openings arrived in one wake-up than are handled.
+    BatchFull,
     NoTable,
     NoRoute,
     NoServer,
@@ -33,7 +37,7 @@
     // Every accepting server is full for the route's priority.
     ServiceFull,
 };
-constexpr std::size_t entryReasonCount = 9;
+constexpr std::size_t entryReasonCount = 11;
 
 std::string_view name(EntryReason reason);
 
