--- a/src/passthrough/tests/requestoutcomes.h
+++ b/src/passthrough/tests/requestoutcomes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 namespace clementinesill::passthrough {
 
@@ -13,6 +14,11 @@
     // Of the requests sent after the outage.
     std::uint64_t servedInTime = 0;
     std::uint64_t servedLate = 0;
+    // By class: requests sent after the outage, and how many of them were served before their timeout.
+    std::vector<std::uint64_t> sentByClass;
+    std::vector<std::uint64_t> servedByClass;
+    // By two-second window after the outage: share of the slots' time that was spent on requests served before their timeout.
+    std::vector<double> goodput;
 
     RequestOutcomes& operator+=(const RequestOutcomes& other)
     {
--- a/src/passthrough/tests/restartscenario.h
+++ b/src/passthrough/tests/restartscenario.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "foundation/iclock.h"
+#include "passthrough/tests/requestclass.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace clementinesill::passthrough {
 
@@ -25,6 +28,10 @@
     Duration targetLatency = std::chrono::milliseconds(150);
     Duration timeout = std::chrono::milliseconds(1500);
     int retries = 2;
+    // If given, they replace the rate, service time, latency target and timeout above.
+    std::vector<RequestClass> classes;
+    // Capacity of each agent's queue of waiting SYNs; 0: none wait, and requests start with their SYN.
+    std::size_t waitingOpenings = 0;
     std::uint64_t seed = 1;
 };
 
