Avoid failing servers, and stop counting flows whose requests do not arrive

Cause: a server that resets its requests always has free slots and attracts load. A flow whose request was lost counted as a request in flight until it expired, up to 60 s later; with the limit in flight, a few of them close a server.

Change, effective with overload.waiting_openings above 0: - ServerFailures: above a quarter of the last 32 requests without a response, the agent forwards new SYNs except for one probe each 200 ms, as long as another server may be asked. Bounced SYNs and flows without a request do not count. - FlowTracker stops counting a flow whose request has not arrived within 150 ms (chosen). - Log event opening_held.

--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <deque>
 #include <unordered_map>
+#include <utility>
 
 namespace clementinesill::passthrough {
 
@@ -42,19 +43,32 @@
     // Removes flows whose timeout has passed.
     void expire();
 
+    // Stops counting flows as requests in flight whose request has not arrived in time.
+    void abandonStalledHandshakes();
+
     std::size_t size() const { return m_flows.size(); }
 
 private:
     void beginRequest(const fleet::FlowKey& key, TrackedFlow& flow);
     void occupySlot(TrackedFlow& flow);
     void releaseSlot(TrackedFlow& flow);
-    void finishRequest(const fleet::FlowKey& key, TrackedFlow& flow, bool responded);
+    enum class RequestEnd {
+        Responded,
+        // The server or the caller closed the flow, or the flow expired.
+        NotResponded,
+        // The server never had the request, or has restarted.
+        Withdrawn,
+    };
+
+    void finishRequest(const fleet::FlowKey& key, TrackedFlow& flow, RequestEnd end);
     bool expired(const TrackedFlow& flow, MonotonicTime now) const;
 
     ServerLoad& m_load;
     const IClock& m_clock;
     FlowTrackerOptions m_options;
     std::unordered_map<fleet::FlowKey, TrackedFlow> m_flows;
+    // Flows whose request had not arrived when they were opened, the oldest first.
+    std::deque<std::pair<MonotonicTime, fleet::FlowKey>> m_handshakes;
     // Model of the server's slots: a request that finds them occupied starts when an earlier one ends, in order of arrival.
     std::uint32_t m_occupiedSlots = 0;
     std::deque<fleet::FlowKey> m_queuedRequests;
--- a/src/passthrough/internal/decisionlog.cpp
+++ b/src/passthrough/internal/decisionlog.cpp
@@ -49,6 +49,8 @@
         return LogEvent { .event = opens ? "opening_refused" : "flow_reset", .level = LogLevel::Warn };
     case RelayAction::Drop:
         return LogEvent { .event = opens ? "opening_dropped" : "packet_dropped", .level = LogLevel::Warn };
+    case RelayAction::Wait:
+        return LogEvent { .event = "opening_held" };
     }
     return std::nullopt;
 }
--- a/src/passthrough/internal/flowtracker.cpp
+++ b/src/passthrough/internal/flowtracker.cpp
@@ -1,6 +1,7 @@
 #include "passthrough/flowtracker.h"
 
 #include "agent/internal/sequencewindow.h"
+#include "passthrough/serverfailures.h"
 #include "passthrough/types/flowpacket.h"
 
 #include <utility>
@@ -56,6 +57,8 @@
         .lastPacketTime = now,
     };
     m_load.requestStarted();
+    if (m_options.requestTimeout.count())
+        m_handshakes.emplace_back(now, packet.key);
 }
 
 bool FlowTracker::matches(const TrackedFlow& flow, const FlowPacket& packet) const
@@ -95,7 +98,7 @@
     }
     advance(flow.nextCallerSequence, end);
     if (flow.closed() || flow.callerFinSeen)
-        finishRequest(packet.key, flow, false);
+        finishRequest(packet.key, flow, flow.requestSeen ? RequestEnd::NotResponded : RequestEnd::Withdrawn);
 }
 
 void FlowTracker::recordServerPacket(const FlowPacket& packet)
@@ -121,9 +124,9 @@
     if (packet.payloadBytes && flow.awaitsResponse && m_options.responseStarted)
         m_options.responseStarted(key, now - flow.requestTime);
     if (packet.payloadBytes)
-        finishRequest(key, flow, true);
+        finishRequest(key, flow, RequestEnd::Responded);
     else if (flow.closed())
-        finishRequest(key, flow, false);
+        finishRequest(key, flow, RequestEnd::NotResponded);
 }
 
 void FlowTracker::beginRequest(const fleet::FlowKey& key, TrackedFlow& flow)
@@ -155,11 +158,14 @@
     }
 }
 
-void FlowTracker::finishRequest(const fleet::FlowKey& key, TrackedFlow& flow, bool responded)
+void FlowTracker::finishRequest(const fleet::FlowKey& key, TrackedFlow& flow, RequestEnd end)
 {
     if (!flow.awaitsResponse)
         return;
     flow.awaitsResponse = false;
+    const bool responded = end == RequestEnd::Responded;
+    if (m_options.failures && end != RequestEnd::Withdrawn)
+        m_options.failures->record(responded);
     if (responded && flow.occupiesSlot)
         m_load.workEstimate().recordWork(key.service, m_clock.now() - flow.workStart);
     releaseSlot(flow);
@@ -174,16 +180,17 @@
     const auto found = m_flows.find(key);
     if (found == m_flows.end())
         return;
-    finishRequest(key, found->second, false);
+    finishRequest(key, found->second, RequestEnd::Withdrawn);
     m_flows.erase(found);
 }
 
 void FlowTracker::clear()
 {
     for (auto& [key, flow] : m_flows)
-        finishRequest(key, flow, false);
+        finishRequest(key, flow, RequestEnd::Withdrawn);
     m_flows.clear();
     m_queuedRequests.clear();
+    m_handshakes.clear();
 }
 
 bool FlowTracker::expired(const TrackedFlow& flow, MonotonicTime now) const
@@ -194,6 +201,18 @@
     return idle >= (flow.established ? m_options.idleTimeout : m_options.handshakeTimeout);
 }
 
+void FlowTracker::abandonStalledHandshakes()
+{
+    const auto oldest = m_clock.now() - m_options.requestTimeout;
+    while (!m_handshakes.empty() && m_handshakes.front().first <= oldest) {
+        const auto [openedAt, key] = m_handshakes.front();
+        m_handshakes.pop_front();
+        const auto found = m_flows.find(key);
+        if (found != m_flows.end() && !found->second.requestSeen && found->second.requestTime == openedAt)
+            finishRequest(key, found->second, RequestEnd::Withdrawn);
+    }
+}
+
 void FlowTracker::expire()
 {
     const auto now = m_clock.now();
@@ -202,7 +221,7 @@
             ++entry;
             continue;
         }
-        finishRequest(entry->first, entry->second, false);
+        finishRequest(entry->first, entry->second, entry->second.requestSeen ? RequestEnd::NotResponded : RequestEnd::Withdrawn);
         entry = m_flows.erase(entry);
     }
 }
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -20,6 +20,7 @@
 #include "passthrough/localserver.h"
 #include "passthrough/passthroughmodules.h"
 #include "passthrough/relayrouter.h"
+#include "passthrough/serverfailures.h"
 #include "passthrough/waitingopenings.h"
 #include "settings.pb.h"
 
@@ -45,6 +46,8 @@
 
 // Number of flows whose first miss is recorded.
 constexpr std::size_t missLogCapacity = 4096;
+// Covers the round trip of a handshake and 50 ms in the queue of the entry link in each direction; see FlowTrackerOptions.
+constexpr std::chrono::milliseconds requestTimeout { 150 };
 // How often expired flows are removed, and the table is checked if no packets arrive.
 constexpr std::chrono::milliseconds maintenanceInterval { 600 };
 // How often the table is checked while the server is registered but not yet in the table.
@@ -69,8 +72,8 @@
         , m_heartbeatInterval(std::chrono::milliseconds(m_settings.heartbeat_ms()))
         , m_server(m_clock, m_heartbeatInterval)
         , m_coldStartLimit(m_clock, { .factor = m_settings.cold_factor(), .extraFlows = m_settings.cold_extra_flows() })
-        , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .responseStarted = [this](const auto& flow, auto elapsed) { recordResponseTime(flow, elapsed); } })
-        , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .coldStartLimit = m_coldStartLimit, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .waiting = waiting() })
+        , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .requestTimeout = waiting() ? requestTimeout : Duration::zero(), .failures = waiting() ? &m_failures : nullptr, .responseStarted = [this](const auto& flow, auto elapsed) { recordResponseTime(flow, elapsed); } })
+        , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .coldStartLimit = m_coldStartLimit, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .waiting = waiting(), .failures = waiting() ? &m_failures : nullptr })
         , m_relay(m_loop, { .daemonEndpoint = parseEndpoint(m_settings.packet_endpoint()), .serverPacketEndpoint = parseEndpoint(m_settings.server_packets_endpoint()), .serverEndpoint = m_serverEndpoint, .format = format, .router = m_router, .flows = m_flows, .load = m_load, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .onTableChanged = [this](const auto& table) { onTableChanged(table); }, .requestConfirmation = [this] { m_registrar->requestRenewal(); }, .clock = m_clock, .waiting = waiting(), .sendLoadNotices = m_settings.overload().load_notices() })
     {
     }
@@ -204,6 +207,7 @@
             return;
         if (!isFirstHeartbeat)
             m_flows.clear();
+        m_failures.clear();
         m_router.setServer(0, 0);
     }
 
@@ -296,6 +300,7 @@
     ServerLoad m_load;
     LocalServer m_server;
     ColdStartLimit m_coldStartLimit;
+    ServerFailures m_failures { m_clock };
     FlowTracker m_flows;
     agent::MissLog m_misses { missLogCapacity };
     WaitingOpenings m_waiting { { .maximumLength = m_settings.overload().waiting_openings() }, m_clock };
--- a/src/passthrough/internal/relaydecision.cpp
+++ b/src/passthrough/internal/relaydecision.cpp
@@ -42,6 +42,7 @@
         "wait_expired",
         "already_waiting",
         "repetition_not_placed",
+        "failing",
     };
     return names.at(static_cast<std::size_t>(reason));
 }
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -10,6 +10,7 @@
 #include "passthrough/flowtracker.h"
 #include "passthrough/localserver.h"
 #include "passthrough/roomsearch.h"
+#include "passthrough/serverfailures.h"
 #include "passthrough/serverload.h"
 #include "passthrough/types/flowpacket.h"
 #include "passthrough/types/releasedopening.h"
@@ -102,9 +103,17 @@
     // A sender with a newer table may have a route that this agent's table lacks.
     if (!senderHasNewerTable(search, view) && !route)
         return reset(RelayReason::NoRoute);
+    if (m_options.waiting)
+        m_options.flows.abandonStalledHandshakes();
     const auto reason = checkAdmission(search, targetService(search, packet, view), view);
     if (reason != RelayReason::Admitted && reason != RelayReason::Busy)
         return forwardNewFlow(search, packet, view, reason);
+    if (m_options.failures && m_options.failures->failing()) {
+        const auto forwarded = forwardNewFlow(search, packet, view, RelayReason::ServerFailing);
+        const bool probes = reason == RelayReason::Admitted && m_options.failures->takeProbe();
+        if (forwarded.action == RelayAction::Forward && !probes)
+            return forwarded;
+    }
     if (reason == RelayReason::Admitted)
         return openFlow(packet, RelayReason::Admitted);
     if (m_options.waiting)
@@ -255,7 +264,7 @@
         decision = drop(RelayReason::TableStale);
     else if (packet.synRetransmissions() && mayOverlookServer(search, packet, view))
         decision = drop(RelayReason::RetransmissionNotPlaced);
-    const bool lacksRoom = rejectReason == RelayReason::Busy || rejectReason == RelayReason::Bounced;
+    const bool lacksRoom = rejectReason == RelayReason::Busy || rejectReason == RelayReason::Bounced || rejectReason == RelayReason::ServerFailing;
     const bool searchEnds = m_options.waiting && lacksRoom && search.visited.size() + 1 >= serversAskedForRoom;
     if (const auto* server = searchEnds ? nullptr : nextAcceptingServer(search, packet, view))
         decision = forwardTo(*server, rejectReason);
--- a/src/passthrough/tests/overloadbursts.cpp
+++ b/src/passthrough/tests/overloadbursts.cpp
@@ -87,6 +87,16 @@
     checkBounds(burstOnR(6));
 }
 
+// Flows whose requests are lost must not occupy the server's slots until they expire after 60 s.
+TEST(OverloadBursts, LostRequestsDoNotOccupySlots)
+{
+    auto scenario = burstOnP(4, 4);
+    scenario.requestLoss = 0.02;
+    scenario.seed = 1;
+    const auto outcomes = RestartSimulation(scenario).run();
+    CHECK(*std::ranges::min_element(outcomes.goodput) >= goodputTarget);
+}
+
 // A burst of one class displaced the class with the higher priority.
 TEST(OverloadBursts, BurstOfOneClassLeavesHigherPriorityAlone)
 {
--- a/src/passthrough/tests/restartsimulation.cpp
+++ b/src/passthrough/tests/restartsimulation.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t serverQueueLength = 20;
 // Removal of flows whose handshake was not completed.
 constexpr std::chrono::milliseconds flowExpiry { 2600 };
+// A flow without a request no longer counts as in flight after this time.
+constexpr std::chrono::milliseconds requestTimeout { 150 };
 // Length of the windows in which goodput is measured.
 constexpr std::chrono::seconds goodputWindow { 2 };
 // Maximum relative deviation of the service time from its mean.
@@ -67,7 +69,7 @@
 } // namespace
 
 RestartSimulation::Node::Node(std::uint32_t id, const ManualClock& clock, std::size_t waitingOpenings)
-    : RouterFixture(clock, "mandaue", std::chrono::hours(1))
+    : RouterFixture(clock, "mandaue", std::chrono::hours(1), {}, waitingOpenings ? requestTimeout : Duration::zero())
     , id(id)
     , waiting({ .maximumLength = waitingOpenings }, clock)
     , waitingRouter({ .zone = "mandaue", .flows = flows, .server = server, .load = load, .coldStartLimit = coldStartLimit, .misses = misses, .clock = clock, .waiting = &waiting })
@@ -233,6 +235,9 @@
         if (!isCurrentAttempt(request, port) || m_requests[request].opened)
             return;
         m_requests[request].opened = true;
+        constexpr std::uint64_t steps = 1024;
+        if (m_scenario.requestLoss > 0 && static_cast<double>(m_random.below(steps)) < m_scenario.requestLoss * steps)
+            return;
         schedule(m_clock.now() + 2 * linkDelay, [this, &node, request, port] { sendRequest(node, request, port); });
     });
     schedule(m_clock.now() + flowExpiry, [this, &node] {
--- a/src/passthrough/tests/waitingopenings.cpp
+++ b/src/passthrough/tests/waitingopenings.cpp
@@ -79,7 +79,7 @@
 private:
     RelayRouter makeRouter()
     {
-        RelayRouter result({ .zone = "mandaue", .flows = flows, .server = server, .load = load, .coldStartLimit = coldStartLimit, .misses = misses, .clock = clock, .waiting = &waiting });
+        RelayRouter result({ .zone = "mandaue", .flows = flows, .server = server, .load = load, .coldStartLimit = coldStartLimit, .misses = misses, .clock = clock, .waiting = &waiting, .failures = &failures });
         result.setServer(1, deskService);
         return result;
     }
@@ -272,3 +272,42 @@
     decision = agent.waitingRouter.decide(search, synPacket(1), agent.view());
     LONGS_EQUAL(3, decision.nextServerId);
 }
+
+// A server that resets its requests always has free slots and would attract the load of the others.
+TEST(WaitingOpenings, FailingServerForwardsNewFlowsExceptProbes)
+{
+    agent.finishOne(101);
+    agent.finishOne(102);
+    agent.finishOne(103);
+    for (std::uint16_t port = 200; port < 209; ++port) {
+        agent.openFlow(port);
+        agent.flows.recordCallerPacket(callerPacket(5000, 100, 1001, port));
+        auto serverReset = serverPacket(5001, 0, port);
+        serverReset.rst = true;
+        agent.flows.recordServerPacket(serverReset);
+    }
+    CHECK(agent.failures.failing());
+    CHECK_DECISION(RelayAction::Open, RelayReason::Admitted, agent.waitingRouter.decide(agent.search(), synPacket(1), agent.view()));
+    CHECK_DECISION(RelayAction::Forward, RelayReason::ServerFailing, agent.waitingRouter.decide(agent.search(), synPacket(2), agent.view()));
+    // The last server that can be asked still accepts the flow.
+    CHECK_DECISION(RelayAction::Open, RelayReason::Admitted, agent.decideLast(synPacket(3)));
+    agent.finishOne(1);
+    agent.clock.advance(std::chrono::milliseconds(200));
+    CHECK_DECISION(RelayAction::Open, RelayReason::Admitted, agent.waitingRouter.decide(agent.search(), synPacket(4), agent.view()));
+}
+
+// Flows whose SYN the server bounced, or whose caller never sent a request, say nothing about the server.
+TEST(WaitingOpenings, BouncedAndUnusedFlowsAreNoFailures)
+{
+    for (std::uint16_t port = 200; port < 232; ++port) {
+        agent.flows.open(synPacket(port));
+        if (port % 2 == 0) {
+            agent.flows.erase(testFlow(port));
+            continue;
+        }
+        auto callerReset = callerPacket(5000, 0, 1001, port);
+        callerReset.rst = true;
+        agent.flows.recordCallerPacket(callerReset);
+    }
+    CHECK_FALSE(agent.failures.failing());
+}
--- a/src/passthrough/types/relaydecision.h
+++ b/src/passthrough/types/relaydecision.h
@@ -72,8 +72,10 @@
     // A retransmitted SYN found no free slot. It is not reset, since a server that was not visited may have received an earlier
     // copy.
     RetransmissionNotPlaced,
+    // The server ends too many requests without a response.
+    ServerFailing,
 };
-constexpr std::size_t relayReasonCount = 29;
+constexpr std::size_t relayReasonCount = 30;
 
 std::string_view name(RelayAction action);
 std::string_view name(RelayReason reason);
--- a/src/passthrough/types/relayrouteroptions.h
+++ b/src/passthrough/types/relayrouteroptions.h
@@ -18,6 +18,7 @@
 class ColdStartLimit;
 class FlowTracker;
 class LocalServer;
+class ServerFailures;
 class ServerLoad;
 class WaitingOpenings;
 
@@ -35,6 +36,8 @@
     // If set, a new flow that finds no free slot waits here instead of in the server's queue, and the search for room is
     // limited; see roomsearch.h.
     WaitingOpenings* waiting = nullptr;
+    // If set, a server that fails too many requests is given new flows only as probes, or if no other server can be asked.
+    ServerFailures* failures = nullptr;
 };
 
 } // namespace clementinesill::passthrough
