--- a/src/passthrough/internal/loadreport.cpp
+++ b/src/passthrough/internal/loadreport.cpp
@@ -1,5 +1,6 @@
 #include "passthrough/loadreport.h"
 
+#include "passthrough/types/flowpacket.h"
 #include "passthrough/types/relaydecision.h"
 #include "passthrough/types/search.h"
 
@@ -15,17 +16,19 @@
 
 } // namespace
 
-std::optional<dataplane::LoadNotice> makeLoadNotice(const RelayDecision& decision, const Search& search, std::uint32_t serverId, std::uint32_t priority)
+std::optional<dataplane::LoadNotice> makeLoadNotice(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::uint32_t serverId, std::uint32_t priority)
 {
-    const bool rejected = decision.reason == RelayReason::RejectedByAllServers;
+    // Retransmissions are rejected by servers without a free slot, at which another SYN may still wait.
+    const bool full = decision.reason == RelayReason::RejectedByAllServers && !packet.synRetransmissions();
     const bool waits = decision.action == RelayAction::Wait;
+    const bool retransmissionRejected = packet.synRetransmissions() && (decision.reason == RelayReason::RejectedByAllServers || decision.reason == RelayReason::RetransmissionNotPlaced);
     const bool opened = decision.action == RelayAction::Open && decision.reason != RelayReason::AdmittedAfterWait;
-    if (!rejected && !waits && !opened)
+    if (!full && !waits && !opened && !retransmissionRejected)
         return std::nullopt;
     dataplane::LoadNotice notice {
-        .level = rejected ? dataplane::LoadLevel::Full : dataplane::LoadLevel::Busy,
-        .priority = rejected ? priority : 0,
-        .validity = rejected ? fullValidity : busyValidity,
+        .level = full ? dataplane::LoadLevel::Full : dataplane::LoadLevel::Busy,
+        .priority = full ? priority : 0,
+        .validity = full ? fullValidity : busyValidity,
         .servers = { search.visited.begin(), search.visited.end() },
     };
     if (!opened && serverId)
--- a/src/passthrough/internal/packetrelay.cpp
+++ b/src/passthrough/internal/packetrelay.cpp
@@ -202,7 +202,7 @@
         return;
     const auto table = m_options.tables.table();
     const auto* route = table->route(packet.key.service);
-    const auto notice = makeLoadNotice(decision, search, m_serverId, route ? route->priority : 0);
+    const auto notice = makeLoadNotice(decision, search, packet, m_serverId, route ? route->priority : 0);
     if (!notice)
         return;
     dataplane::GeneveMessage message;
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -168,9 +168,11 @@
     if (!m_options.waiting)
         return released;
     auto& waiting = *m_options.waiting;
-    const auto reject = [&released](std::vector<WaitingOpening> openings, RelayReason reason) {
+    const auto reject = [&](std::vector<WaitingOpening> openings, RelayReason reason) {
         for (auto& opening : openings) {
-            auto decision = reset(reason);
+            // If the agent was suspended, the caller has sent another copy, which another server may have received.
+            const bool callerRetransmitted = m_options.clock.now() - opening.arrivedAt >= FlowPacket::synTransmitTimes[1];
+            auto decision = callerRetransmitted ? drop(reason) : reset(reason);
             decision.rejectReason = RelayReason::Busy;
             released.push_back({ .decision = decision, .opening = std::move(opening) });
         }
--- a/src/passthrough/loadreport.h
+++ b/src/passthrough/loadreport.h
@@ -7,6 +7,7 @@
 
 namespace clementinesill::passthrough {
 
+struct FlowPacket;
 struct RelayDecision;
 struct Search;
 
@@ -14,6 +15,6 @@
 // SYN came directly from the balancer and found room. Answers bursts: with it, the balancer places new flows at servers with
 // room and rejects those that none can take, instead of each of them repeating the search. serverId is that of the agent,
 // priority that of the route.
-std::optional<dataplane::LoadNotice> makeLoadNotice(const RelayDecision& decision, const Search& search, std::uint32_t serverId, std::uint32_t priority);
+std::optional<dataplane::LoadNotice> makeLoadNotice(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::uint32_t serverId, std::uint32_t priority);
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/tests/waitingopenings.cpp
+++ b/src/passthrough/tests/waitingopenings.cpp
@@ -118,6 +118,15 @@
     agent.checkReleasesOne(RelayAction::Reset, RelayReason::WaitExpired);
 }
 
+// The agent's VM was suspended while a SYN waited. The caller's next copy may have reached another server, so a reset could be
+// false.
+TEST(WaitingOpenings, OverdueSynIsDropped)
+{
+    agent.decideLast(synPacket(1));
+    agent.clock.advance(std::chrono::milliseconds(200));
+    agent.checkReleasesOne(RelayAction::Drop, RelayReason::WaitExpired);
+}
+
 // A second copy of a waiting SYN must not take a second place in the queue, and must not be reset while the first one waits.
 TEST(WaitingOpenings, RetransmissionOfWaitingSynIsDropped)
 {
@@ -271,6 +280,11 @@
     search.visited = { decision.nextServerId };
     decision = agent.waitingRouter.decide(search, synPacket(1), agent.view());
     LONGS_EQUAL(3, decision.nextServerId);
+    // Bytes between zones cost, so a download asks all servers of the zone first.
+    agent.tables.table().mutable_routes(0)->set_kind(schema::REQUEST_KIND_DOWNLOAD);
+    agent.table = agent.tables.build();
+    decision = agent.waitingRouter.decide(search, synPacket(1), agent.view());
+    STRCMP_EQUAL("mandaue", agent.table->server(decision.nextServerId)->zone.c_str());
 }
 
 // A server that resets its requests always has free slots and would attract the load of the others.
