--- a/src/passthrough/tests/waitingopenings.cpp
+++ b/src/passthrough/tests/waitingopenings.cpp
@@ -1,92 +1,12 @@
 #include "passthrough/waitingopenings.h"
 
-#include "passthrough/loadreport.h"
-#include "passthrough/tests/agentfixture.h"
-#include "passthrough/types/releasedopening.h"
+#include "passthrough/tests/waitingagent.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace clementinesill;
 using namespace clementinesill::passthrough;
 
-#define CHECK_DECISION(expectedAction, expectedReason, decision)               \
-    do {                                                                       \
-        const auto actual = (decision);                                        \
-        STRCMP_EQUAL(name(expectedAction).data(), name(actual.action).data()); \
-        STRCMP_EQUAL(name(expectedReason).data(), name(actual.reason).data()); \
-    } while (false)
-
-namespace {
-
-// An agent whose SYNs wait, at the end of a search for a free slot.
-struct WaitingAgent : AgentFixture {
-    WaitingAgent()
-        : AgentFixture(1)
-    {
-        auto& route = *tables.table().mutable_routes(0);
-        route.set_target_latency_ms(300);
-        route.set_priority(2);
-        table = tables.build();
-    }
-
-    Search lastSearch() const
-    {
-        auto result = search();
-        result.visited = { 2, 3 };
-        return result;
-    }
-
-    RelayDecision decideLast(const FlowPacket& packet) { return waitingRouter.decide(lastSearch(), packet, view()); }
-
-    // Occupies the slots and the reserve with flows whose requests have arrived.
-    void fill()
-    {
-        std::uint16_t port = 100;
-        while (load.hasRoom()) {
-            flows.open(synPacket(++port));
-            flows.recordServerPacket(synAckPacket(5000, port));
-            flows.recordCallerPacket(callerPacket(5000, 0, 1001, port));
-        }
-    }
-
-    void finishOne(std::uint16_t port = 101) { flows.recordServerPacket(serverPacket(5001, 100, port)); }
-
-    std::vector<ReleasedOpening> release() { return waitingRouter.releaseWaiting(view()); }
-
-    // Fails the test unless exactly one SYN is released with this decision.
-    void checkReleasesOne(RelayAction action, RelayReason reason)
-    {
-        const auto released = release();
-        LONGS_EQUAL(1, released.size());
-        CHECK_DECISION(action, reason, released[0].decision);
-        CHECK(waiting.empty());
-    }
-
-    // Fails the test unless one SYN with a port below the given one is reset to make room.
-    void checkDisplacesOneOf(std::uint16_t portLimit)
-    {
-        const auto released = release();
-        LONGS_EQUAL(1, released.size());
-        CHECK_DECISION(RelayAction::Reset, RelayReason::Displaced, released[0].decision);
-        CHECK(released[0].opening.packet.key.caller.port < portLimit);
-    }
-
-    // Port of the flow whose request ended last.
-    std::uint16_t finished = 100;
-    WaitingOpenings waiting { { .maximumLength = 8 }, clock };
-    RelayRouter waitingRouter = makeRouter();
-
-private:
-    RelayRouter makeRouter()
-    {
-        RelayRouter result({ .zone = "mandaue", .flows = flows, .server = server, .load = load, .coldStartLimit = coldStartLimit, .misses = misses, .clock = clock, .waiting = &waiting });
-        result.setServer(1, deskService);
-        return result;
-    }
-};
-
-} // namespace
-
 // clang-format off
 TEST_GROUP(WaitingOpenings)
 {
@@ -118,6 +38,15 @@
     agent.checkReleasesOne(RelayAction::Reset, RelayReason::WaitExpired);
 }
 
+// The agent's VM was suspended while a SYN waited. The caller's next copy may have reached another server, so a reset could be
+// false.
+TEST(WaitingOpenings, OverdueSynIsDropped)
+{
+    agent.decideLast(synPacket(1));
+    agent.clock.advance(std::chrono::milliseconds(200));
+    agent.checkReleasesOne(RelayAction::Drop, RelayReason::WaitExpired);
+}
+
 // A second copy of a waiting SYN must not take a second place in the queue, and must not be reset while the first one waits.
 TEST(WaitingOpenings, RetransmissionOfWaitingSynIsDropped)
 {
@@ -271,4 +200,48 @@
     search.visited = { decision.nextServerId };
     decision = agent.waitingRouter.decide(search, synPacket(1), agent.view());
     LONGS_EQUAL(3, decision.nextServerId);
+    // Bytes between zones cost, so a download asks all servers of the zone first.
+    agent.tables.table().mutable_routes(0)->set_kind(schema::REQUEST_KIND_DOWNLOAD);
+    agent.table = agent.tables.build();
+    decision = agent.waitingRouter.decide(search, synPacket(1), agent.view());
+    STRCMP_EQUAL("mandaue", agent.table->server(decision.nextServerId)->zone.c_str());
+}
+
+// A server that resets its requests always has free slots and would attract the load of the others.
+TEST(WaitingOpenings, FailingServerForwardsNewFlowsExceptProbes)
+{
+    agent.finishOne(101);
+    agent.finishOne(102);
+    agent.finishOne(103);
+    for (std::uint16_t port = 200; port < 209; ++port) {
+        agent.openFlow(port);
+        agent.flows.recordCallerPacket(callerPacket(5000, 100, 1001, port));
+        auto serverReset = serverPacket(5001, 0, port);
+        serverReset.rst = true;
+        agent.flows.recordServerPacket(serverReset);
+    }
+    CHECK(agent.failures.failing());
+    CHECK_DECISION(RelayAction::Open, RelayReason::Admitted, agent.waitingRouter.decide(agent.search(), synPacket(1), agent.view()));
+    CHECK_DECISION(RelayAction::Forward, RelayReason::ServerFailing, agent.waitingRouter.decide(agent.search(), synPacket(2), agent.view()));
+    // The last server that can be asked still accepts the flow.
+    CHECK_DECISION(RelayAction::Open, RelayReason::Admitted, agent.decideLast(synPacket(3)));
+    agent.finishOne(1);
+    agent.clock.advance(std::chrono::milliseconds(200));
+    CHECK_DECISION(RelayAction::Open, RelayReason::Admitted, agent.waitingRouter.decide(agent.search(), synPacket(4), agent.view()));
+}
+
+// Flows whose SYN the server bounced, or whose caller never sent a request, say nothing about the server.
+TEST(WaitingOpenings, BouncedAndUnusedFlowsAreNoFailures)
+{
+    for (std::uint16_t port = 200; port < 232; ++port) {
+        agent.flows.open(synPacket(port));
+        if (port % 2 == 0) {
+            agent.flows.erase(testFlow(port));
+            continue;
+        }
+        auto callerReset = callerPacket(5000, 0, 1001, port);
+        callerReset.rst = true;
+        agent.flows.recordCallerPacket(callerReset);
+    }
+    CHECK_FALSE(agent.failures.failing());
 }
