Check the overload settings, and describe them for operators

The daemons read overload.linkMbps, waitingOpenings and loadNotices without any check, so a rate below what one SYN needs would have rejected every new flow. linkMbps is 0 (off) or 0.2 to 100000, waitingOpenings at most 1000. 0.2 Mbit/s is the least rate at which the part of the budget for retransmitted SYNs holds one; the other bounds are chosen.

--- a/src/operators/internal/settings.cpp
+++ b/src/operators/internal/settings.cpp
@@ -27,6 +27,11 @@
 constexpr std::uint32_t maximumHeartbeatMs = 60'000;
 constexpr std::uint32_t maximumFlowLifetimeSeconds = 86'400;
 constexpr std::uint32_t maximumPort = 65'535;
+// On a slower link, the part of the budget for retransmitted SYNs would hold less than one of 108 bytes.
+constexpr double minimumLinkMbps = 0.2;
+constexpr double maximumLinkMbps = 100'000;
+// An agent searches the waiting openings in sequence, and none waits longer than 150 ms.
+constexpr std::uint32_t maximumWaitingOpenings = 1'000;
 constexpr std::uint32_t loopbackNetwork = 127;
 
 std::string readText(const std::string& path)
@@ -43,6 +48,12 @@
     return list + "[" + std::to_string(index) + "]";
 }
 
+void checkOverload(const SettingsChecker& check, const std::string& section, const schema::OverloadSettings& overload)
+{
+    check.rangeOrOff(section + ".linkMbps", overload.link_mbps(), minimumLinkMbps, maximumLinkMbps);
+    check.range(section + ".waitingOpenings", overload.waiting_openings(), 0, maximumWaitingOpenings);
+}
+
 // Checks the passThrough keys in a role's section, which apply to packets in the platform's own format.
 void checkPassThrough(const SettingsChecker& check, const schema::DaemonSettings& settings, const std::string& section, const schema::PassThroughSettings& passThrough, std::initializer_list<const char*> requiredKeys)
 {
@@ -57,6 +68,7 @@
     check.endpoint(key("controlEndpoint"), passThrough.control_endpoint());
     check.range(key("heartbeatMs"), passThrough.heartbeat_ms(), 1, maximumHeartbeatMs);
     check.range(key("flowLifetimeSeconds"), passThrough.flow_lifetime_seconds(), 1, maximumFlowLifetimeSeconds);
+    checkOverload(check, key("overload"), passThrough.overload());
     for (int index = 0; index < settings.discovery().seeds_size(); ++index)
         check.endpoint(itemKey("discovery.seeds", index), settings.discovery().seeds(index));
     check.range("discovery.port", settings.discovery().port(), 1, maximumPort);
--- a/src/operators/internal/settingschecker.cpp
+++ b/src/operators/internal/settingschecker.cpp
@@ -7,6 +7,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <unistd.h>
 
 namespace clementinesill::operators {
@@ -60,6 +61,17 @@
     m_reader.fail(ConfigFault::OutOfRange, key, std::to_string(value) + " is out of range", "use a number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
 }
 
+void SettingsChecker::rangeOrOff(const std::string& key, double value, double minimum, double maximum) const
+{
+    if (!m_reader.hasKey(key) || value == 0 || (value >= minimum && value <= maximum))
+        return;
+    std::ostringstream problem;
+    problem << value << " is out of range";
+    std::ostringstream remedy;
+    remedy << "use a number from " << minimum << " to " << maximum << ", or 0 to switch it off";
+    m_reader.fail(ConfigFault::OutOfRange, key, problem.str(), remedy.str());
+}
+
 void SettingsChecker::writableFolder(const std::string& key, const std::string& path) const
 {
     std::error_code ignored;
--- a/src/operators/internal/settingschecker.h
+++ b/src/operators/internal/settingschecker.h
@@ -32,6 +32,8 @@
     void choice(const std::string& key, const std::string& text, std::initializer_list<std::string_view> choices) const;
     // OutOfRange if the key is set and its value is not within the bounds.
     void range(const std::string& key, std::uint32_t value, std::uint32_t minimum, std::uint32_t maximum) const;
+    // The same for a number with a fraction; 0 is accepted and means that the setting is off.
+    void rangeOrOff(const std::string& key, double value, double minimum, double maximum) const;
     // MissingFolder if the path is not a folder that the daemon can read and write.
     void writableFolder(const std::string& key, const std::string& path) const;
     // MissingKey or MissingFile if the key tls is set and one of its keys or files is missing.
--- a/src/operators/tests/settings.cpp
+++ b/src/operators/tests/settings.cpp
@@ -47,6 +47,9 @@
 const std::string controller = R"({"name":"c1",
 "controller":{"endpoint":"127.0.0.1:23050","dataFolder":"/tmp","peers":[
 {"name":"c1","endpoint":"127.0.0.1:23050"},{"name":"c2","endpoint":"127.0.0.1:23052"}]}})";
+const std::string passThroughBalancer = R"({"name":"b2","zone":"mandaue","discovery":{"seeds":["127.0.0.1:8166"],"port":8166},
+"balancer":{"passThrough":{"packetEndpoint":"127.0.0.1:23050","peerEndpoint":"127.0.0.1:23051","readyEndpoint":"127.0.0.1:23052",
+"overload":{"linkMbps":2.7,"waitingOpenings":64,"loadNotices":true}}}})";
 
 // A replacement in valid settings that makes them invalid.
 struct InvalidChange {
@@ -102,7 +105,7 @@
 
 TEST(Settings, AcceptsValidSettingsOfEachRole)
 {
-    for (const auto* text : { &balancer, &agent, &controller }) {
+    for (const auto* text : { &balancer, &agent, &controller, &passThroughBalancer }) {
         const auto error = errorOf(*text);
         CHECK_TRUE_TEXT(!error.has_value(), error ? error->what() : "");
     }
@@ -133,11 +136,29 @@
         { controller, "{\"name\":\"c1\",\"endpoint\"", "{\"name\":\"c3\",\"endpoint\"", ConfigFault::MissingKey, 2, "controller.peers" },
         { controller, "\"c2\"", "\"c1\"", ConfigFault::DuplicateRecord, 3, "controller.peers[1].name" },
         { controller, "}}", "}", ConfigFault::Syntax, 3, "" },
+        { passThroughBalancer, "2.7", "0.1", ConfigFault::OutOfRange, 3, "balancer.passThrough.overload.linkMbps" },
+        { passThroughBalancer, "2.7", "-1", ConfigFault::WrongType, 3, "balancer.passThrough.overload.linkMbps" },
+        { passThroughBalancer, "2.7", "100001", ConfigFault::OutOfRange, 3, "balancer.passThrough.overload.linkMbps" },
+        { passThroughBalancer, "2.7", "\"2.7\"", ConfigFault::WrongType, 3, "balancer.passThrough.overload.linkMbps" },
+        { passThroughBalancer, "64", "1001", ConfigFault::OutOfRange, 3, "balancer.passThrough.overload.waitingOpenings" },
+        { passThroughBalancer, "64", "-1", ConfigFault::WrongType, 3, "balancer.passThrough.overload.waitingOpenings" },
+        { passThroughBalancer, "\"loadNotices\":true", "\"loadNotices\":1", ConfigFault::WrongType, 3, "balancer.passThrough.overload.loadNotices" },
     };
     for (const auto& change : changes)
         checkRejected(change);
 }
 
+// A rate of 0 and absent keys mean that overload handling is off, and integers are valid rates: the deploy template writes both.
+TEST(Settings, AcceptsLinkRateOfZeroAndWholeNumbers)
+{
+    for (const auto* rate : { "0", "0.2", "100", "100000" }) {
+        auto text = passThroughBalancer;
+        text.replace(text.find("2.7"), 3, rate);
+        const auto error = errorOf(text);
+        CHECK_TRUE_TEXT(!error.has_value(), error ? error->what() : "");
+    }
+}
+
 TEST(Settings, ReportsMissingRoleAndUnreadableFile)
 {
     CHECK(errorOf(R"({"name":"b1"})")->fault() == ConfigFault::MissingRole);
