Charge an opening for the packets of its flow, for both directions of the link

The budget counted only what the balancer sends, and admitted SYNs whose later packets did not fit. Change: LinkBudget counts received datagrams, charges each first SYN for the measured bytes of a flow, refunds what does not follow, always has room for resets (each saves two retransmissions), and lets a service with less than an equal share of the openings use the whole budget. link_overhead_bytes says what a link carries beside the payload.

--- a/src/passthrough/internal/linkadmission.cpp
+++ b/src/passthrough/internal/linkadmission.cpp
@@ -1,5 +1,6 @@
 #include "passthrough/linkadmission.h"
 
+#include "fleet/types/serverentry.h"
 #include "passthrough/types/entrypacket.h"
 
 namespace clementinesill::passthrough {
@@ -19,7 +20,7 @@
 
 LinkAdmission::LinkAdmission(const LinkAdmissionOptions& options, const IClock& clock, MetricsRegistry& metrics)
     : m_options(options)
-    , m_budget(options.bytesPerSecond, clock)
+    , m_budget(options.link, clock)
 {
     metrics.describe("entry_link_datagrams_total", "datagrams sent by a balancer, by class");
     metrics.describe("entry_link_bytes_total", "bytes sent by a balancer with IP and UDP headers, by class");
@@ -40,7 +41,8 @@
         return decision;
     const auto entryClass = classOf(decision, entry.packet);
     const auto bytes = entryClass == EntryClass::Reset ? m_options.resetBytes : m_options.forwardHeaderBytes + entry.bytes.size();
-    if (take(entryClass, entry.priority, bytes))
+    const auto serviceId = decision.server ? decision.server->serviceId : 0;
+    if (count(entryClass, bytes, entryClass == EntryClass::Opening ? m_budget.takeOpening(serviceId, entry.priority, bytes) : m_budget.take(entryClass, bytes)))
         return decision;
     if (entryClass == EntryClass::Opening)
         return reject(EntryReason::NoLinkBudget, entry);
@@ -49,19 +51,19 @@
 
 EntryDecision LinkAdmission::reject(EntryReason reason, const EntryPacket& entry)
 {
-    const bool reset = !entry.packet.synRetransmissions() && take(EntryClass::Reset, entry.priority, m_options.resetBytes);
+    const bool reset = !entry.packet.synRetransmissions() && count(EntryClass::Reset, m_options.resetBytes, m_budget.take(EntryClass::Reset, m_options.resetBytes));
     return { .action = reset ? EntryAction::Reset : EntryAction::Drop, .reason = reason };
 }
 
-bool LinkAdmission::take(EntryClass entryClass, std::uint32_t priority, std::size_t datagramBytes)
+bool LinkAdmission::count(EntryClass entryClass, std::size_t datagramBytes, bool taken)
 {
     auto& counters = m_counters.at(static_cast<std::size_t>(entryClass));
-    if (!m_budget.take(entryClass, priority, datagramBytes)) {
+    if (!taken) {
         ++*counters.refused;
         return false;
     }
     ++*counters.sent;
-    *counters.bytes += datagramBytes + LinkBudget::ipAndUdpHeaderBytes;
+    *counters.bytes += datagramBytes + m_options.link.datagramOverheadBytes;
     return true;
 }
 
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -47,7 +47,7 @@
     dataplane::GeneveMessage message;
     message.route.emplace();
     return {
-        .bytesPerSecond = settings.overload().link_mbps() * bytesPerMegabit,
+        .link = { .bytesPerSecond = settings.overload().link_mbps() * bytesPerMegabit, .datagramOverheadBytes = settings.overload().link_overhead_bytes() },
         .forwardHeaderBytes = dataplane::encodeGeneveHeader(message, header),
         .resetBytes = format.makeReset({}).size(),
     };
@@ -137,7 +137,9 @@
         const auto table = m_fleet.tables().table();
         m_batch.clear();
         for (const auto& bytes : datagrams) {
-            if (const auto packet = m_format.decode(bytes))
+            const auto packet = m_format.decode(bytes);
+            m_linkAdmission.recordReceived(packet && !packet->opensFlow(), bytes.size());
+            if (packet)
                 m_batch.push_back({ .packet = *packet, .bytes = bytes, .priority = priorityOf(*packet, *table) });
             else
                 ++m_metrics.counter("entry_malformed_total");
@@ -178,6 +180,7 @@
 
     void onAgentPacket(std::span<const std::byte> datagram)
     {
+        m_linkAdmission.recordReceived(false, datagram.size());
         dataplane::GeneveMessage message;
         const bool decoded = dataplane::decodeGeneve(datagram, message) == dataplane::PacketError::None;
         const bool hasNotice = decoded && m_usesLoadNotices && message.control && message.loadNotice;
--- a/src/passthrough/linkadmission.h
+++ b/src/passthrough/linkadmission.h
@@ -21,6 +21,9 @@
     // else is dropped: an earlier copy of a retransmitted SYN may have reached a server, so a reset could be untrue.
     EntryDecision admit(const EntryDecision& decision, const EntryPacket& entry);
 
+    // Counts a received datagram.
+    void recordReceived(bool ofOpenFlow, std::size_t datagramBytes) { m_budget.recordReceived(ofOpenFlow, datagramBytes); }
+
     // Returns the decision for an opening that is rejected for the reason, without looking for a server.
     EntryDecision reject(EntryReason reason, const EntryPacket& entry);
 
@@ -32,7 +35,8 @@
         Counter* refused = nullptr;
     };
 
-    bool take(EntryClass entryClass, std::uint32_t priority, std::size_t datagramBytes);
+    // Returns taken.
+    bool count(EntryClass entryClass, std::size_t datagramBytes, bool taken);
 
     const LinkAdmissionOptions m_options;
     LinkBudget m_budget;
--- a/src/passthrough/types/linkadmissionoptions.h
+++ b/src/passthrough/types/linkadmissionoptions.h
@@ -1,12 +1,13 @@
 #pragma once
 
+#include "passthrough/types/linkbudgetoptions.h"
+
 #include <cstddef>
 
 namespace clementinesill::passthrough {
 
 struct LinkAdmissionOptions {
-    // Rate of the link; 0 for no limit.
-    double bytesPerSecond = 0;
+    LinkBudgetOptions link;
     // Size of the header in front of a forwarded packet.
     std::size_t forwardHeaderBytes = 0;
     // Size of a reset.
