Let a SYN wait at one agent only

Cause: a held SYN that is forwarded, because its agent drains or the server bounces it, could wait a second time. Its reset could then come after the caller's next copy had reached another server.

Change: route flag 128 marks a SYN that has waited; agents do not hold it again.

--- a/src/dataplane/types/route.h
+++ b/src/dataplane/types/route.h
@@ -25,6 +25,8 @@
     // The traversal in rank order reached an agent that no longer has the server that the packet was for, or left out a silent
     // server.
     static constexpr std::uint8_t skippedServer = 64;
+    // The packet has waited at an agent for a slot, so it must not wait again: its caller would retransmit it.
+    static constexpr std::uint8_t hasWaited = 128;
 
     // Newest table version among the balancer and the agents that forwarded the packet.
     std::uint64_t tableVersion = 0;
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -142,6 +142,8 @@
     auto& waiting = *m_options.waiting;
     if (waiting.empty() && m_options.load.hasRoom())
         return openFlow(packet, RelayReason::AdmittedToQueue);
+    if (search.route.flags & dataplane::Route::hasWaited)
+        return forwarded;
     // A caller that opens another flow from the same port has given up the earlier one.
     waiting.erase(packet.key);
     const auto& load = m_options.load;
@@ -184,6 +186,7 @@
         auto opening = waiting.takeNext();
         if (!opening)
             break;
+        opening->search.route.flags |= dataplane::Route::hasWaited;
         const auto decision = decideReleased(*opening, view);
         released.push_back({ .decision = decision, .opening = std::move(*opening) });
     }
--- a/src/passthrough/tests/overloadbursts.cpp
+++ b/src/passthrough/tests/overloadbursts.cpp
@@ -49,6 +49,7 @@
             { .rate = 286 * scale * factor, .work = milliseconds(61), .targetLatency = milliseconds(400), .timeout = milliseconds(3000), .priority = 1 },
         },
         .waitingOpenings = 64,
+        .speeds = { 0.55, 1.2, 1.2, 1.2 },
     };
 }
 
--- a/src/passthrough/tests/restartscenario.h
+++ b/src/passthrough/tests/restartscenario.h
@@ -32,6 +32,8 @@
     std::vector<RequestClass> classes;
     // Capacity of each agent's queue of waiting SYNs; 0: none wait, and requests start with their SYN.
     std::size_t waitingOpenings = 0;
+    // Speeds of the servers, repeated; work takes longer at a lower speed.
+    std::vector<double> speeds { 1 };
     // Share of the requests that are lost between caller and server after the handshake.
     double requestLoss = 0;
     std::uint64_t seed = 1;
--- a/src/passthrough/tests/restartsimulation.cpp
+++ b/src/passthrough/tests/restartsimulation.cpp
@@ -271,7 +271,7 @@
     const bool cold = m_clock.now() - m_outageEnd < m_scenario.coldTime;
     constexpr std::uint64_t steps = 1024;
     const auto spread = 1 + serviceTimeSpread * (2 * static_cast<double>(m_random.below(steps)) / steps - 1);
-    const auto serviceTime = std::chrono::duration_cast<Duration>(m_scenario.classes[m_requests[request].classIndex].work * (cold ? m_scenario.coldFactor : 1) * spread);
+    const auto serviceTime = std::chrono::duration_cast<Duration>(m_scenario.classes[m_requests[request].classIndex].work * (cold ? m_scenario.coldFactor : 1) * spread / m_scenario.speeds[(node.id - 1) % m_scenario.speeds.size()]);
     schedule(m_clock.now() + serviceTime, [this, &node, request, port, serviceTime] { finishRequest(node, request, port, serviceTime); });
 }
 
--- a/src/passthrough/tests/waitingopenings.cpp
+++ b/src/passthrough/tests/waitingopenings.cpp
@@ -170,6 +170,20 @@
     CHECK_DECISION(RelayAction::Reset, RelayReason::RejectedByAllServers, agent.waitingRouter.decideBounced(search, synPacket(1), agent.view()));
 }
 
+// A SYN that waited at two agents would still wait when its caller sends the next copy, whose flow its reset could then hit.
+TEST(WaitingOpenings, SynWaitsAtOneAgentOnly)
+{
+    auto search = agent.search();
+    search.visited = { 21, 22, 23 };
+    agent.waitingRouter.decide(search, synPacket(1), agent.view());
+    agent.sendHeartbeat(true);
+    const auto released = agent.release();
+    agent.sendHeartbeat(false);
+    LONGS_EQUAL(1, released.size());
+    CHECK_DECISION(RelayAction::Forward, RelayReason::Busy, agent.waitingRouter.decide(released[0].opening.search, synPacket(1), agent.view()));
+    CHECK(agent.waiting.empty());
+}
+
 // A burst of a low priority keeps the queue full when a request of a higher priority arrives.
 TEST(WaitingOpenings, HigherPriorityDisplacesLower)
 {
