Replay the end of a burst

Cause: on P, retries kept the system overloaded until 13 s after a burst of four times the load.

Change: RestartSimulation takes a burst of limited length; OverloadBursts checks the requests sent more than a second later.

--- a/src/passthrough/tests/overloadbursts.cpp
+++ b/src/passthrough/tests/overloadbursts.cpp
@@ -14,6 +14,8 @@
 constexpr double goodputTarget = 0.95;
 // Minimum served share of the class with the higher priority, whose load is below the capacity.
 constexpr double priorityClassTarget = 0.95;
+// Minimum served share of the requests sent later than one second after a burst.
+constexpr double recoveryTarget = 0.98;
 constexpr std::uint64_t seedCount = 2;
 
 // The main service of deployment P in docs/hard-load.md, with 12 of its 46 servers.
@@ -88,6 +90,19 @@
     checkBounds(burstOnR(6));
 }
 
+// Retries kept a system overloaded until 13 s after the end of a burst.
+TEST(OverloadBursts, ServesNormalLoadOneSecondAfterBurst)
+{
+    auto scenario = burstOnP(1, 1);
+    scenario.burstFactor = 4;
+    scenario.burstLength = std::chrono::seconds(4);
+    scenario.length = std::chrono::seconds(7);
+    scenario.seed = 1;
+    const auto outcomes = RestartSimulation(scenario).run();
+    CHECK(outcomes.sentAfterBurst > 500);
+    CHECK(static_cast<double>(outcomes.servedAfterBurst) >= recoveryTarget * static_cast<double>(outcomes.sentAfterBurst));
+}
+
 // Flows whose requests are lost must not occupy the server's slots until they expire after 60 s.
 TEST(OverloadBursts, LostRequestsDoNotOccupySlots)
 {
--- a/src/passthrough/tests/requestoutcomes.h
+++ b/src/passthrough/tests/requestoutcomes.h
@@ -17,6 +17,9 @@
     // By class: requests sent after the outage, and how many of them were served before their timeout.
     std::vector<std::uint64_t> sentByClass;
     std::vector<std::uint64_t> servedByClass;
+    // Requests sent more than a second after the burst, and how many of them were served before their timeout.
+    std::uint64_t sentAfterBurst = 0;
+    std::uint64_t servedAfterBurst = 0;
     // By two-second window after the outage: share of the slots' time that was spent on requests served before their timeout.
     std::vector<double> goodput;
 
--- a/src/passthrough/tests/restartscenario.h
+++ b/src/passthrough/tests/restartscenario.h
@@ -30,6 +30,9 @@
     int retries = 2;
     // If given, they replace the rate, service time, latency target and timeout above.
     std::vector<RequestClass> classes;
+    // The rates are multiplied by this until the end of the burst.
+    double burstFactor = 1;
+    Duration burstLength { 0 };
     // Capacity of each agent's queue of waiting SYNs; 0: none wait, and requests start with their SYN.
     std::size_t waitingOpenings = 0;
     // Speeds of the servers, repeated; work takes longer at a lower speed.
--- a/src/passthrough/tests/restartsimulation.cpp
+++ b/src/passthrough/tests/restartsimulation.cpp
@@ -121,7 +121,7 @@
     while (true) {
         constexpr std::uint64_t steps = 1 << 20;
         const auto uniform = static_cast<double>(m_random.below(steps) + 1) / static_cast<double>(steps);
-        time += std::chrono::duration_cast<Duration>(-std::log(uniform) * mean);
+        time += std::chrono::duration_cast<Duration>(-std::log(uniform) * mean / (time < m_outageEnd + m_scenario.burstLength ? m_scenario.burstFactor : 1));
         if (time >= end)
             return;
         m_requests.push_back({ .sentAt = time, .classIndex = classIndex });
@@ -129,6 +129,8 @@
         ++(time < m_outageEnd ? m_outcomes.sentDuringOutage : m_outcomes.sentAfterOutage);
         if (time >= m_outageEnd)
             ++m_outcomes.sentByClass[classIndex];
+        if (time >= recoveryEnd())
+            ++m_outcomes.sentAfterBurst;
     }
 }
 
@@ -291,6 +293,8 @@
             ++(inTime ? m_outcomes.servedInTime : m_outcomes.servedLate);
         if (state.sentAt >= m_outageEnd)
             ++m_outcomes.servedByClass[state.classIndex];
+        if (state.sentAt >= recoveryEnd())
+            ++m_outcomes.servedAfterBurst;
     }
     state.responded = true;
     node.flows.erase(flowKey(request, port));
--- a/src/passthrough/tests/restartsimulation.h
+++ b/src/passthrough/tests/restartsimulation.h
@@ -75,6 +75,8 @@
     FlowPacket packetOfCaller(FlowPacket packet, std::size_t request, std::uint32_t port) const;
     FlowPacket packetOfServer(FlowPacket packet, std::size_t request, std::uint32_t port) const;
     void recordGoodput(Duration work);
+    // Requests sent from then on should be served as before the burst.
+    MonotonicTime recoveryEnd() const { return m_outageEnd + m_scenario.burstLength + std::chrono::seconds(1); }
     agent::TableView view() const { return { .table = *m_table, .confirmedAt = {} }; }
 
     RestartScenario m_scenario;
