--- a/src/passthrough/tests/restartsimulation.cpp
+++ b/src/passthrough/tests/restartsimulation.cpp
@@ -121,7 +121,7 @@
     while (true) {
         constexpr std::uint64_t steps = 1 << 20;
         const auto uniform = static_cast<double>(m_random.below(steps) + 1) / static_cast<double>(steps);
-        time += std::chrono::duration_cast<Duration>(-std::log(uniform) * mean);
+        time += std::chrono::duration_cast<Duration>(-std::log(uniform) * mean / (time < m_outageEnd + m_scenario.burstLength ? m_scenario.burstFactor : 1));
         if (time >= end)
             return;
         m_requests.push_back({ .sentAt = time, .classIndex = classIndex });
@@ -129,6 +129,8 @@
         ++(time < m_outageEnd ? m_outcomes.sentDuringOutage : m_outcomes.sentAfterOutage);
         if (time >= m_outageEnd)
             ++m_outcomes.sentByClass[classIndex];
+        if (time >= recoveryEnd())
+            ++m_outcomes.sentAfterBurst;
     }
 }
 
@@ -271,7 +273,7 @@
     const bool cold = m_clock.now() - m_outageEnd < m_scenario.coldTime;
     constexpr std::uint64_t steps = 1024;
     const auto spread = 1 + serviceTimeSpread * (2 * static_cast<double>(m_random.below(steps)) / steps - 1);
-    const auto serviceTime = std::chrono::duration_cast<Duration>(m_scenario.classes[m_requests[request].classIndex].work * (cold ? m_scenario.coldFactor : 1) * spread);
+    const auto serviceTime = std::chrono::duration_cast<Duration>(m_scenario.classes[m_requests[request].classIndex].work * (cold ? m_scenario.coldFactor : 1) * spread / m_scenario.speeds[(node.id - 1) % m_scenario.speeds.size()]);
     schedule(m_clock.now() + serviceTime, [this, &node, request, port, serviceTime] { finishRequest(node, request, port, serviceTime); });
 }
 
@@ -291,6 +293,8 @@
             ++(inTime ? m_outcomes.servedInTime : m_outcomes.servedLate);
         if (state.sentAt >= m_outageEnd)
             ++m_outcomes.servedByClass[state.classIndex];
+        if (state.sentAt >= recoveryEnd())
+            ++m_outcomes.servedAfterBurst;
     }
     state.responded = true;
     node.flows.erase(flowKey(request, port));
