--- a/src/admission/internal/admissionqueue.cpp
+++ b/src/admission/internal/admissionqueue.cpp
@@ -26,10 +26,10 @@
 bool missesTarget(const QueueTraits& traits, MonotonicTime now) { return now + traits.expectedWork > traits.targetTime; }
 
 // Work in powers of two, so that the noise of a measurement does not change the order.
-int workMagnitude(const QueueTraits& traits)
+std::uint64_t workMagnitude(const QueueTraits& traits)
 {
     const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(traits.expectedWork).count();
-    return std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(microseconds, 0)));
+    return static_cast<std::uint64_t>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(microseconds, 0))));
 }
 
 Duration waitBehind(std::int64_t ahead, Duration readyIn, Duration timePerStart)
