Test that the proxy rejects a displaced read at once

Cause: the path from a displaced request to its caller's response had no test. Change: a read that waits is displaced by an order and gets 503, not-run.

--- a/src/requests/tests/requesttask.cpp
+++ b/src/requests/tests/requesttask.cpp
@@ -314,6 +314,26 @@
     CHECK(harness.runUntilServed());
 }
 
+// Guards against a displaced request that is answered only after its maximum wait, or not at all.
+TEST(RequestTask, RejectsDisplacedReadImmediately)
+{
+    int ended = 0;
+    ProxyHarness harness(neverRespond(ended), { .queue = { .maximumLength = 1, .interval = std::chrono::minutes(1) } });
+    for (int index = 0; index < 5; ++index)
+        harness.connect().send(getRequest);
+    CHECK(harness.runUntil([&] { return harness.server->requests.size() == 5; }));
+    auto& read = harness.connect();
+    read.send(getRequest);
+    harness.context.poll();
+    auto& order = harness.connect();
+    order.send(postRequest);
+    CHECK(harness.runUntilReceived(read, "queue_too_long"));
+    CHECK(reportsNotRun(read));
+    CHECK(contains(read.received, "Retry-After: "));
+    CHECK(order.received.empty());
+    CHECK_EQUAL(5U, harness.server->requests.size());
+}
+
 TEST(RequestTask, RejectsRequestsOverLimits)
 {
     const std::vector<std::pair<std::string, std::string>> cases {
