Keep what is known about busy servers while SYNs to them are unanswered

A server with unanswered SYNs lost its busy state in the order, so on a lossy link all servers looked alike. Unanswered, busy and zone are now separate criteria. The load_notice line no longer uses the key of the log level.

--- a/src/passthrough/internal/decisionlog.cpp
+++ b/src/passthrough/internal/decisionlog.cpp
@@ -108,7 +108,7 @@
         servers += (servers.empty() ? "" : ",") + std::to_string(id);
     const std::vector<LogField> fields {
         { .key = "service", .value = std::to_string(serviceId) },
-        { .key = "level", .value = notice.level == dataplane::LoadLevel::Full ? "full" : "busy" },
+        { .key = "load", .value = notice.level == dataplane::LoadLevel::Full ? "full" : "busy" },
         { .key = "priority", .value = std::to_string(notice.priority) },
         { .key = "valid_ms", .value = std::to_string(notice.validity.count()) },
         { .key = "servers", .value = servers },
--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -4,6 +4,7 @@
 #include "dataplane/types/flowholder.h"
 #include "fleet/fleettable.h"
 #include "fleet/serverrank.h"
+#include "passthrough/internal/placementkey.h"
 #include "passthrough/serverloadview.h"
 #include "passthrough/types/flowpacket.h"
 
@@ -35,16 +36,6 @@
     return highest.server();
 }
 
-// Position of a server that is not full among the others; the lowest is first. Bytes between zones cost, so a download leaves
-// its zone only if no server there answers.
-unsigned placementKey(PerceivedLoad load, bool inOtherZone, fleet::RequestKind kind)
-{
-    const auto zone = inOtherZone ? 1U : 0U;
-    if (kind != fleet::RequestKind::Download)
-        return 2 * static_cast<unsigned>(load) + zone;
-    return load == PerceivedLoad::Unanswered ? 4 + zone : 2 * zone + static_cast<unsigned>(load);
-}
-
 EntryDecision reset(EntryReason reason) { return { .action = EntryAction::Reset, .reason = reason }; }
 
 EntryDecision place(const fleet::ServerEntry& server, EntryReason reason)
@@ -134,7 +125,7 @@
             return std::nullopt;
         anyAccepting = true;
         const auto load = m_loadView->load(server.id, route.priority, now);
-        if (load == PerceivedLoad::Full)
+        if (load.full)
             return std::nullopt;
         if (&server == unanswered) {
             lastResort = &server;
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -88,9 +88,9 @@
     {
         m_metrics.describe("load_notices_total", "load notices received from agents");
         m_metrics.describe("entry_servers_seen", "servers whose load the balancer currently knows, by load");
-        static constexpr std::array<std::pair<PerceivedLoad, std::size_t LoadViewCounts::*>, 3> counts { { { PerceivedLoad::Busy, &LoadViewCounts::busy }, { PerceivedLoad::Unanswered, &LoadViewCounts::unanswered }, { PerceivedLoad::Full, &LoadViewCounts::full } } };
+        static constexpr std::array<std::pair<const char*, std::size_t LoadViewCounts::*>, 3> counts { { { "busy", &LoadViewCounts::busy }, { "unanswered", &LoadViewCounts::unanswered }, { "full", &LoadViewCounts::full } } };
         for (const auto& [load, count] : counts) {
-            m_metrics.addGauge("entry_servers_seen", { { "load", std::string(name(load)) } }, [this, count = count] {
+            m_metrics.addGauge("entry_servers_seen", { { "load", load } }, [this, count = count] {
                 const std::lock_guard lock(m_routerMutex);
                 return static_cast<double>(m_loadView.counts().*count);
             });
--- a/src/passthrough/internal/serverloadview.cpp
+++ b/src/passthrough/internal/serverloadview.cpp
@@ -4,7 +4,6 @@
 #include "fleet/fleettable.h"
 
 #include <algorithm>
-#include <array>
 
 namespace clementinesill::passthrough {
 
@@ -19,10 +18,13 @@
 
 } // namespace
 
-std::string_view name(PerceivedLoad load)
+std::string_view name(const PerceivedLoad& load)
 {
-    static constexpr std::array<std::string_view, 4> names { "none", "busy", "unanswered", "full" };
-    return names.at(static_cast<std::size_t>(load));
+    if (load.full)
+        return "full";
+    if (load.unanswered)
+        return "unanswered";
+    return load.busy ? "busy" : "none";
 }
 
 ServerLoadView::ServerLoadView(const IClock& clock)
@@ -76,12 +78,12 @@
 {
     const auto* found = record(serverId);
     if (!found)
-        return PerceivedLoad::None;
-    if (found->fullUntil > now && priority >= found->fullPriority)
-        return PerceivedLoad::Full;
-    if (found->unansweredUntil > now)
-        return PerceivedLoad::Unanswered;
-    return found->busyUntil > now ? PerceivedLoad::Busy : PerceivedLoad::None;
+        return {};
+    return {
+        .full = found->fullUntil > now && priority >= found->fullPriority,
+        .unanswered = found->unansweredUntil > now,
+        .busy = found->busyUntil > now,
+    };
 }
 
 const ServerLoadRecord* ServerLoadView::record(std::uint32_t serverId) const
--- a/src/passthrough/tests/decisionlog.cpp
+++ b/src/passthrough/tests/decisionlog.cpp
@@ -1,5 +1,6 @@
 #include "passthrough/internal/decisionlog.h"
 
+#include "dataplane/types/loadnotice.h"
 #include "fleet/fleettable.h"
 #include "foundation/log.h"
 #include "passthrough/admissionmonitor.h"
@@ -91,6 +92,26 @@
     CHECK(output.contents().empty());
 }
 
+// Guards against a rejection at the entry whose cause cannot be found in the logs.
+TEST(DecisionLog, BalancerLogsRejectionAndNotice)
+{
+    configureLog({ .level = LogLevel::Debug, .standardOutput = true, .linesPerSecond = 0, .daemon = "balancer-1" });
+    logDecision(EntryDecision { .action = EntryAction::Reset, .reason = EntryReason::ServiceFull }, synPacket(), 5);
+    logNotice({ .level = dataplane::LoadLevel::Full, .priority = 2, .validity = std::chrono::milliseconds(100), .servers = { 3, 7 } }, 1);
+    std::istringstream lines(output.contents());
+    std::string rejection;
+    std::string notice;
+    std::getline(lines, rejection);
+    std::getline(lines, notice);
+    const auto rejectionLine = nlohmann::json::parse(rejection);
+    STRCMP_EQUAL("service_full", rejectionLine["reason"].get<std::string>().c_str());
+    CHECK(rejectionLine.contains("remedy"));
+    const auto noticeLine = nlohmann::json::parse(notice);
+    STRCMP_EQUAL("load_notice", noticeLine["event"].get<std::string>().c_str());
+    STRCMP_EQUAL("3,7", noticeLine["servers"].get<std::string>().c_str());
+    STRCMP_EQUAL("full", noticeLine["load"].get<std::string>().c_str());
+}
+
 TEST(DecisionLog, AdmissionMonitorReportsOnlyChanges)
 {
     AdmissionMonitor monitor;
--- a/src/passthrough/tests/entryplacement.cpp
+++ b/src/passthrough/tests/entryplacement.cpp
@@ -162,7 +162,7 @@
     for (std::uint16_t port = 1; port <= 20; ++port) {
         LONGS_EQUAL(3, router.decide(synPacket(port), *table).server->id);
         second.insert(router.decide(synPacket(port, 1), *table).server->id);
-        CHECK(view.load(3, low, clock.now()) == PerceivedLoad::Unanswered);
+        CHECK(view.load(3, low, clock.now()).unanswered);
         view.recordAnswer(3);
     }
     CHECK(second == std::set<std::uint32_t>({ 1, 2 }));
