Add explain-placement, which shows where balancers place a route's new flows

Operators could not see why a balancer places or rejects new flows. The admin page /placement of a balancer in pass-through mode lists the servers in the order of EntryRouter with zone, load, priority, and age and expiry of what is known, or the rule of the rejection. The command queries the balancers, optionally of one zone. Without a caller the rank is not known, so servers of equal order share a place.

--- a/src/framework/admin/adminpages.h
+++ b/src/framework/admin/adminpages.h
@@ -23,7 +23,7 @@
 using QueryParameters = std::map<std::string, std::string>;
 
 // Renders the pages of the admin endpoint, independently of the HTTP server: /health, /ready, /status, /metrics, /flows,
-// /explain and /histograms. Thread-safe.
+// /explain, /placement and /histograms. Thread-safe.
 class AdminPages {
 public:
     AdminPages(const schema::DaemonSettings& settings, const MetricsRegistry& metrics, const IClock& clock);
@@ -46,6 +46,7 @@
     AdminResponse metrics(const QueryParameters& parameters) const;
     AdminResponse flows(const QueryParameters& parameters) const;
     AdminResponse explain(const QueryParameters& parameters) const;
+    AdminResponse placement(const QueryParameters& parameters) const;
     AdminResponse histograms(const QueryParameters& parameters) const;
     schema::DaemonReport report() const;
 
--- a/src/framework/admin/iadminsource.h
+++ b/src/framework/admin/iadminsource.h
@@ -6,6 +6,8 @@
 class ExplainQuery;
 class FlowList;
 class FlowQuery;
+class PlacementList;
+class PlacementQuery;
 } // namespace clementinesill::schema
 
 namespace clementinesill::admin {
@@ -24,6 +26,9 @@
 
     // Returns the decisions about a flow or request that the role still keeps, oldest first.
     virtual schema::DecisionList explain(const schema::ExplainQuery& query) const = 0;
+
+    // Adds where the role would send a new flow of the route in the query now. A role that places no flows adds nothing.
+    virtual void explainPlacement(const schema::PlacementQuery& /*query*/, schema::PlacementList& /*list*/) const { }
 };
 
 } // namespace clementinesill::admin
--- a/src/framework/admin/internal/adminpages.cpp
+++ b/src/framework/admin/internal/adminpages.cpp
@@ -5,6 +5,7 @@
 #include "foundation/error.h"
 #include "foundation/histogram.h"
 #include "foundation/metrics.h"
+#include "foundation/types/endpoint.h"
 #include "settings.pb.h"
 
 #include <charconv>
@@ -78,6 +79,7 @@
     { "/metrics", &AdminPages::metrics },
     { "/flows", &AdminPages::flows },
     { "/explain", &AdminPages::explain },
+    { "/placement", &AdminPages::placement },
     { "/histograms", &AdminPages::histograms },
 };
 
@@ -101,7 +103,7 @@
         if (page.path == path)
             return (this->*page.render)(parameters);
     }
-    return errorResponse(notFoundStatus, "no such page", "use /health, /ready, /status, /metrics, /flows, /explain or /histograms");
+    return errorResponse(notFoundStatus, "no such page", "use /health, /ready, /status, /metrics, /flows, /explain, /placement or /histograms");
 }
 
 schema::DaemonReport AdminPages::report() const
@@ -175,6 +177,25 @@
     return jsonResponse(list);
 }
 
+AdminResponse AdminPages::placement(const QueryParameters& parameters) const
+{
+    schema::PlacementQuery query;
+    query.set_address(parameter(parameters, "address"));
+    try {
+        parseEndpoint(query.address());
+    } catch (const Error& error) {
+        return errorResponse(badRequestStatus, error.problem(), "add ?address=ADDRESS:PORT of a route");
+    }
+    schema::PlacementList list;
+    if (const auto* source = m_source.load())
+        source->explainPlacement(query, list);
+    for (auto& record : *list.mutable_records()) {
+        record.set_daemon(m_settings.name());
+        record.set_daemon_zone(m_settings.zone());
+    }
+    return jsonResponse(list);
+}
+
 AdminResponse AdminPages::histograms(const QueryParameters&) const
 {
     schema::HistogramList list;
--- a/src/operators/internal/commandarguments.cpp
+++ b/src/operators/internal/commandarguments.cpp
@@ -34,6 +34,7 @@
     add("caller", "flows: only of this caller, ADDRESS or ADDRESS:PORT", text(), "CALLER");
     add("service", "flows: only of this service", text(), "NAME");
     add("server", "flows: only to this backend server", text(), "NAME");
+    add("zone", "explain-placement: only balancers in this availability zone", text(), "NAME");
     add("limit", "flows: maximum number per daemon", cxxopts::value<std::uint32_t>()->default_value("100"), "N");
     add("positional", "", list());
     options.parse_positional("positional");
@@ -85,6 +86,7 @@
     options.caller = optionOr<std::string>(result, "caller", "");
     options.service = optionOr<std::string>(result, "service", "");
     options.server = optionOr<std::string>(result, "server", "");
+    options.zone = optionOr<std::string>(result, "zone", "");
     options.limit = result["limit"].as<std::uint32_t>();
     return arguments;
 }
--- a/src/operators/internal/commands.cpp
+++ b/src/operators/internal/commands.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::array<Command, 11> table { {
+constexpr std::array<Command, 12> table { {
     {
         .name = "check",
         .arguments = "FOLDER",
@@ -97,6 +97,16 @@
                    "the client settings; each daemon keeps only its most recent decisions.",
         .run = &runExplain,
     },
+    {
+        .name = "explain-placement",
+        .arguments = "ADDRESS:PORT",
+        .minimumArguments = 1,
+        .maximumArguments = 1,
+        .summary = "show where balancers would send a new flow of a route now, and why",
+        .details = "Queries the balancers' admin endpoints given by --daemon or the client settings, and sends no packet. Servers\n"
+                   "of the same PLACE are ordered by their rank for the flow; those without one get no new flows of the route.",
+        .run = &runExplainPlacement,
+    },
     {
         .name = "histogram",
         .arguments = "[NAME]",
--- a/src/operators/internal/daemoncommands.cpp
+++ b/src/operators/internal/daemoncommands.cpp
@@ -10,6 +10,7 @@
 #include "operators/internal/timetext.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace clementinesill::operators {
@@ -55,6 +56,28 @@
     return table.render();
 }
 
+// Text of a number in a table cell; empty if the cell does not apply.
+std::string cell(bool applies, std::uint64_t number) { return applies ? std::to_string(number) : ""; }
+
+std::string placementTable(const schema::PlacementList& list)
+{
+    std::string text;
+    for (const auto& record : list.records()) {
+        constexpr int percent = 100;
+        text += (text.empty() ? "" : "\n\n") + record.daemon() + " in zone " + record.daemon_zone() + ", route " + record.route() + ", table " + std::to_string(record.version()) + ": " + record.decision() + " (" + record.reason() + ")";
+        if (record.service().empty())
+            continue;
+        text += "\nservice " + record.service() + ", priority " + std::to_string(record.priority()) + ", " + std::to_string(std::lround(record.share() * percent)) + " % of the new flows\n";
+        TextTable table({ "PLACE", "SERVER", "ZONE", "LOAD", "FULL FROM PRIORITY", "AGE MS", "EXPIRES IN MS" });
+        for (const auto& candidate : record.candidates()) {
+            const bool isKnown = candidate.expires_in_ms() > 0;
+            table.add({ cell(candidate.place() > 0, candidate.place()), candidate.server(), candidate.zone(), candidate.load(), cell(candidate.load() == "full", candidate.full_priority()), cell(isKnown, candidate.age_ms()), cell(isKnown, candidate.expires_in_ms()) });
+        }
+        text += table.render();
+    }
+    return text;
+}
+
 } // namespace
 
 void runFlows(Invocation& invocation)
@@ -87,6 +110,26 @@
     query.throwFirstError();
 }
 
+void runExplainPlacement(Invocation& invocation)
+{
+    const auto& address = invocation.arguments()[0];
+    const auto& zone = invocation.options().zone;
+    DaemonQuery query(invocation, "/placement?address=" + admin::percentEncode(address));
+    schema::PlacementList list;
+    for (const auto& response : query.responses<schema::PlacementList>()) {
+        for (const auto& record : response.records()) {
+            if (zone.empty() || record.daemon_zone() == zone)
+                *list.add_records() = record;
+        }
+    }
+    if (list.records().empty()) {
+        query.throwFirstError();
+        throw Error(ErrorKind::NotFound, "none of the queried daemons is a balancer" + (zone.empty() ? "" : " in zone '" + zone + "'"), "list the admin endpoints of balancers with --daemon; `clementinesill status` shows the daemons and their zones");
+    }
+    invocation.printer().print(list, placementTable(list));
+    query.throwFirstError();
+}
+
 void runHistogram(Invocation& invocation)
 {
     DaemonQuery query(invocation, "/histograms");
--- a/src/operators/internal/daemoncommands.h
+++ b/src/operators/internal/daemoncommands.h
@@ -8,6 +8,7 @@
 // Error if a daemon did not respond.
 void runFlows(Invocation& invocation);
 void runExplain(Invocation& invocation);
+void runExplainPlacement(Invocation& invocation);
 void runHistogram(Invocation& invocation);
 
 } // namespace clementinesill::operators
--- a/src/operators/tests/daemoncommands.cpp
+++ b/src/operators/tests/daemoncommands.cpp
@@ -61,6 +61,18 @@
         return list;
     }
 
+    void explainPlacement(const schema::PlacementQuery& query, schema::PlacementList& list) const override
+    {
+        auto& record = *list.add_records();
+        record.set_route(query.address());
+        record.set_service("orders");
+        auto& candidate = *record.add_candidates();
+        candidate.set_server("server-1");
+        candidate.set_load("full");
+        candidate.set_full_priority(2);
+        candidate.set_expires_in_ms(40);
+    }
+
     MetricsRegistry metrics;
 
 private:
@@ -68,6 +80,7 @@
     {
         schema::DaemonSettings settings;
         settings.set_name(name);
+        settings.set_zone("zone-" + name);
         return settings;
     }
 
@@ -128,6 +141,24 @@
     LONGS_EQUAL(7, run({ "explain", "10.0.0.9:5" }, firstEndpoint));
 }
 
+// Guards against a filter by the zone of the servers instead of the balancers, and against lost fields.
+TEST(DaemonCommands, ExplainPlacementShowsBalancersOfZone)
+{
+    const FakeDaemon first("a1", firstEndpoint, 1);
+    const FakeDaemon second("a2", secondEndpoint, 2);
+    const auto daemons = std::string(firstEndpoint) + "," + secondEndpoint;
+    LONGS_EQUAL(0, run({ "explain-placement", "198.18.0.1:443" }, daemons));
+    LONGS_EQUAL(2, printed()["records"].size());
+    LONGS_EQUAL(0, run({ "explain-placement", "198.18.0.1:443", "--zone", "zone-a2" }, daemons));
+    const auto records = printed()["records"];
+    LONGS_EQUAL(1, records.size());
+    STRCMP_EQUAL("a2", records[0]["daemon"].get<std::string>().c_str());
+    STRCMP_EQUAL("198.18.0.1:443", records[0]["route"].get<std::string>().c_str());
+    LONGS_EQUAL(2, records[0]["candidates"][0]["fullPriority"].get<int>());
+    LONGS_EQUAL(7, run({ "explain-placement", "198.18.0.1:443", "--zone", "zone-a3" }, daemons));
+    LONGS_EQUAL(2, run({ "explain-placement", "orders" }, firstEndpoint));
+}
+
 TEST(DaemonCommands, HistogramSumsSeriesOfSameServiceAndClass)
 {
     FakeDaemon first("a1", firstEndpoint, 1);
--- a/src/operators/types/commandoptions.h
+++ b/src/operators/types/commandoptions.h
@@ -33,6 +33,8 @@
     std::string caller;
     std::string service;
     std::string server;
+    // Availability zone of the balancers whose placement is shown; empty for all.
+    std::string zone;
     // Maximum number of flows to list from each daemon.
     std::uint32_t limit = 100;
 };
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -1,3 +1,5 @@
+#include "admin.pb.h"
+#include "admin/iadminsource.h"
 #include "dataplane/genevecodec.h"
 #include "dataplane/internal/flowcache.h"
 #include "dataplane/types/genevemessage.h"
@@ -15,6 +17,7 @@
 #include "passthrough/internal/tablemetrics.h"
 #include "passthrough/ipacketformat.h"
 #include "passthrough/passthroughmodules.h"
+#include "passthrough/placementexplanation.h"
 #include "passthrough/serverloadview.h"
 #include "settings.pb.h"
 
@@ -36,17 +39,18 @@
 // flight.
 constexpr std::chrono::milliseconds drainDelay { 2200 };
 
-class PassThroughBalancer final : public IRoleModule {
+class PassThroughBalancer final : public IRoleModule, private admin::IAdminSource {
 public:
     PassThroughBalancer(const schema::DaemonSettings& settings, fleet::IFleetClient& fleet, const IPacketFormat& format, const ReadyListenerFactory& makeReadyListener, MetricsRegistry& metrics)
         : m_settings(settings.balancer().pass_through())
+        , m_zone(settings.zone())
         , m_fleet(fleet)
         , m_format(format)
         , m_makeReadyListener(makeReadyListener)
         , m_metrics(metrics)
         , m_cache(settings.balancer().flow_cache_entries() ? settings.balancer().flow_cache_entries() : defaultCacheEntries)
         , m_usesLoadNotices(m_settings.overload().load_notices())
-        , m_router(m_cache, settings.zone(), m_usesLoadNotices ? &m_loadView : nullptr)
+        , m_router(m_cache, m_zone, m_usesLoadNotices ? &m_loadView : nullptr)
         , m_noticeCounter(metrics.counter("load_notices_total"))
         , m_peerEndpoint(parseEndpoint(m_settings.peer_endpoint()))
         , m_callerPort(parseEndpoint(m_settings.packet_endpoint()).port)
@@ -83,7 +87,22 @@
         m_thread.join();
     }
 
+    const admin::IAdminSource* adminSource() const override { return this; }
+
 private:
+    void report(schema::DaemonReport& report) const override { report.set_version(m_fleet.tables().table()->version()); }
+
+    schema::FlowList flows(const schema::FlowQuery&) const override { return {}; }
+
+    schema::DecisionList explain(const schema::ExplainQuery&) const override { return {}; }
+
+    void explainPlacement(const schema::PlacementQuery& query, schema::PlacementList& list) const override
+    {
+        const auto table = m_fleet.tables().table();
+        const std::lock_guard lock(m_routerMutex);
+        list.MergeFrom(passthrough::explainPlacement(parseEndpoint(query.address()), *table, m_zone, m_usesLoadNotices ? &m_loadView : nullptr));
+    }
+
     void addLoadMetrics()
     {
         m_metrics.describe("load_notices_total", "load notices received from agents");
@@ -158,6 +177,7 @@
     }
 
     const schema::PassThroughSettings m_settings;
+    const std::string m_zone;
     fleet::IFleetClient& m_fleet;
     SystemClock m_clock;
     const IPacketFormat& m_format;
@@ -167,8 +187,8 @@
     const bool m_usesLoadNotices;
     ServerLoadView m_loadView { m_clock };
     EntryRouter m_router;
-    // Guards the router and the view, which the metrics read on another thread.
-    std::mutex m_routerMutex;
+    // Guards the router and the view, which metrics and admin pages read on other threads.
+    mutable std::mutex m_routerMutex;
     Counter& m_noticeCounter;
     const Endpoint m_peerEndpoint;
     const std::uint16_t m_callerPort;
