Look up the load of a service's servers in one pass over the view

A decision under load searched the view once for each server. Servers and view are both sorted by id, so one pass over both is enough.

--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -117,14 +117,15 @@
 // server to which an earlier transmission of the SYN was sent; null if unknown.
 EntryDecision EntryRouter::placeByLoad(const fleet::ServiceEntry& service, const fleet::RouteEntry& route, std::uint64_t flowHash, const fleet::ServerEntry* unanswered) const
 {
-    const auto now = m_loadView->now();
+    // A service's servers are sorted by id.
+    ServerLoadView::Lookup lookup(*m_loadView, route.priority);
     bool anyAccepting = false;
     const fleet::ServerEntry* lastResort = nullptr;
     const auto key = [&](const fleet::ServerEntry& server) -> std::optional<unsigned> {
         if (!server.accepting())
             return std::nullopt;
         anyAccepting = true;
-        const auto load = m_loadView->load(server.id, route.priority, now);
+        const auto load = lookup.load(server.id);
         if (load.full)
             return std::nullopt;
         if (&server == unanswered) {
--- a/src/passthrough/internal/serverloadview.cpp
+++ b/src/passthrough/internal/serverloadview.cpp
@@ -77,13 +77,7 @@
 PerceivedLoad ServerLoadView::load(std::uint32_t serverId, std::uint32_t priority, MonotonicTime now) const
 {
     const auto* found = record(serverId);
-    if (!found)
-        return {};
-    return {
-        .full = found->fullUntil > now && priority >= found->fullPriority,
-        .unanswered = found->unansweredUntil > now,
-        .busy = found->busyUntil > now,
-    };
+    return found ? found->load(priority, now) : PerceivedLoad();
 }
 
 const ServerLoadRecord* ServerLoadView::record(std::uint32_t serverId) const
--- a/src/passthrough/serverloadview.h
+++ b/src/passthrough/serverloadview.h
@@ -42,6 +42,32 @@
     // Load of the server for a new flow of the priority.
     PerceivedLoad load(std::uint32_t serverId, std::uint32_t priority, MonotonicTime now) const;
 
+    // Looks up servers in ascending order of their ids, in one pass over the view. The view must outlive it unchanged.
+    class Lookup {
+    public:
+        Lookup(const ServerLoadView& view, std::uint32_t priority)
+            : m_next(view.m_servers.begin())
+            , m_end(view.m_servers.end())
+            , m_now(view.now())
+            , m_priority(priority)
+        {
+        }
+
+        // The ids of successive calls must not decrease.
+        PerceivedLoad load(std::uint32_t serverId)
+        {
+            while (m_next != m_end && m_next->first < serverId)
+                ++m_next;
+            return m_next != m_end && m_next->first == serverId ? m_next->second.load(m_priority, m_now) : PerceivedLoad();
+        }
+
+    private:
+        boost::container::flat_map<std::uint32_t, ServerLoadRecord>::const_iterator m_next;
+        boost::container::flat_map<std::uint32_t, ServerLoadRecord>::const_iterator m_end;
+        MonotonicTime m_now;
+        std::uint32_t m_priority;
+    };
+
     // The record of a server; null if nothing is known about it.
     const ServerLoadRecord* record(std::uint32_t serverId) const;
 
--- a/src/passthrough/tests/placementexplanation.cpp
+++ b/src/passthrough/tests/placementexplanation.cpp
@@ -3,6 +3,7 @@
 #include "admin.pb.h"
 #include "dataplane/internal/flowcache.h"
 #include "dataplane/types/loadnotice.h"
+#include "foundation/seededrandom.h"
 #include "passthrough/entryrouter.h"
 #include "passthrough/serverloadview.h"
 #include "passthrough/tests/testtable.h"
@@ -77,10 +78,17 @@
         const ManualClock clock;
         TestTable tables;
         tables.table().mutable_routes(0)->set_kind(seed % 2 ? schema::REQUEST_KIND_DOWNLOAD : schema::REQUEST_KIND_UNSAFE);
+        const auto servers = static_cast<std::uint32_t>(4 + seed % 40);
+        for (std::uint32_t id = 5; id <= servers; ++id) {
+            auto& server = *tables.table().add_servers();
+            server = tables.server(1 + (id + seed) % 4);
+            server.set_id(id);
+        }
         const auto table = tables.build();
         ServerLoadView view(clock);
-        for (std::uint32_t id = 1; id <= 3; ++id) {
-            const auto state = (seed >> (4 * id)) % 4;
+        SeededRandom random(seed);
+        for (std::uint32_t id = 1; id <= servers; ++id) {
+            const auto state = random.below(4);
             if (state == 3)
                 view.recordUnanswered(id);
             else if (state)
--- a/src/passthrough/types/serverloadrecord.h
+++ b/src/passthrough/types/serverloadrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foundation/iclock.h"
+#include "passthrough/types/perceivedload.h"
 
 #include <cstdint>
 
@@ -16,6 +17,9 @@
     // When the last notice or retransmitted SYN was recorded.
     MonotonicTime recordedAt;
 
+    // Load for a new flow of the priority.
+    PerceivedLoad load(std::uint32_t priority, MonotonicTime now) const { return { .full = fullUntil > now && priority >= fullPriority, .unanswered = unansweredUntil > now, .busy = busyUntil > now }; }
+
     bool expired(MonotonicTime now) const { return busyUntil <= now && unansweredUntil <= now && fullUntil <= now; }
 };
 
