--- a/src/passthrough/tests/placementoutcomes.h
+++ b/src/passthrough/tests/placementoutcomes.h
@@ -13,6 +13,14 @@
         std::uint64_t sent = 0;
         std::uint64_t served = 0;
         std::uint64_t servedInTime = 0;
+
+        Requests& operator+=(const Requests& other)
+        {
+            sent += other.sent;
+            served += other.served;
+            servedInTime += other.servedInTime;
+            return *this;
+        }
     };
 
     // Requests by class, first sent during the burst.
