--- a/src/passthrough/internal/placementexplanation.cpp
+++ b/src/passthrough/internal/placementexplanation.cpp
@@ -95,7 +95,9 @@
 void setDecision(EntryReason reason, schema::PlacementRecord& record)
 {
     const bool placed = reason == EntryReason::FirstAccepting || reason == EntryReason::LeastLoaded;
-    record.set_decision(placed ? "placed" : "rejected");
+    // Without a table the balancer cannot tell whether the route exists, so it drops the flow.
+    const auto* otherwise = reason == EntryReason::NoTable ? "dropped" : "rejected";
+    record.set_decision(placed ? "placed" : otherwise);
     record.set_reason(std::string(name(reason)));
 }
 
--- a/src/passthrough/tests/placementexplanation.cpp
+++ b/src/passthrough/tests/placementexplanation.cpp
@@ -61,7 +61,9 @@
 
 TEST(PlacementExplanation, NamesRuleWithoutRouteOrServer)
 {
-    STRCMP_EQUAL("no_table", explain(fleet::FleetTable(), &view).reason().c_str());
+    const auto withoutTable = explain(fleet::FleetTable(), &view);
+    STRCMP_EQUAL("dropped", withoutTable.decision().c_str());
+    STRCMP_EQUAL("no_table", withoutTable.reason().c_str());
     for (std::uint32_t id = 1; id <= 3; ++id)
         tables.server(id).set_state(schema::SERVER_STATE_DRAINING);
     STRCMP_EQUAL("no_server", explain(*tables.build(), &view).reason().c_str());
