Probe servers that do not answer, and reset no retransmission that a server may have got

With one failed server, all SYNs that nobody could serve went to it once the others were full, and their callers' later attempts outlasted the burst. Such SYNs are now reset, and one SYN at a time probes the server.

A balancer also reset a retransmitted SYN when all servers were full, although it had forwarded the first copy: a server may have opened the flow, and the reset said that nothing had run. Only retransmissions of SYNs that this balancer has reset are reset now.

--- a/src/passthrough/entryrouter.h
+++ b/src/passthrough/entryrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "passthrough/recentrejections.h"
 #include "passthrough/types/entrydecision.h"
 
 #include <string>
@@ -36,13 +37,14 @@
 private:
     EntryDecision routeNewFlow(const FlowPacket& packet, const fleet::RouteEntry& route, const fleet::FleetTable& table, std::uint64_t flowHash);
     EntryDecision placeByRank(const fleet::ServiceEntry& service, std::uint64_t flowHash, std::uint32_t retransmissions) const;
-    EntryDecision placeByLoad(const fleet::ServiceEntry& service, const fleet::RouteEntry& route, std::uint64_t flowHash, const fleet::ServerEntry* unanswered) const;
+    EntryDecision placeByLoad(const fleet::ServiceEntry& service, const fleet::RouteEntry& route, std::uint64_t flowHash, std::uint32_t retransmissions, const fleet::ServerEntry* previous) const;
     const fleet::ServerEntry* cachedServer(const fleet::FleetTable& table, std::uint64_t flowHash) const;
     EntryDecision routeExistingFlow(const fleet::FleetTable& table, std::uint64_t flowHash, std::uint32_t serviceId);
 
     dataplane::IFlowCache& m_cache;
     std::string m_zone;
     ServerLoadView* m_loadView;
+    RecentRejections m_rejections;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -78,15 +78,19 @@
     if (!service)
         return reset(EntryReason::NoServer);
     const auto retransmissions = std::min<std::uint32_t>(packet.synRetransmissions(), FlowPacket::synTransmitTimes.size() - 1);
-    const auto* unanswered = m_loadView && retransmissions ? cachedServer(table, flowHash) : nullptr;
-    if (unanswered)
-        m_loadView->recordUnanswered(unanswered->id);
+    const bool wasForwarded = retransmissions && !m_rejections.contains(flowHash);
+    const auto* previous = m_loadView && wasForwarded ? cachedServer(table, flowHash) : nullptr;
+    if (previous)
+        m_loadView->recordUnanswered(previous->id);
     const bool placesByLoad = m_loadView && !m_loadView->empty();
-    auto decision = placesByLoad ? placeByLoad(*service, route, flowHash, unanswered) : placeByRank(*service, flowHash, retransmissions);
+    const auto decision = placesByLoad ? placeByLoad(*service, route, flowHash, retransmissions, previous) : placeByRank(*service, flowHash, retransmissions);
+    if (decision.reason == EntryReason::ServiceFull)
+        m_rejections.record(flowHash);
     if (!decision.server)
         return decision;
-    if (retransmissions && placesByLoad)
-        decision.reason = EntryReason::NextAccepting;
+    if (placesByLoad)
+        m_loadView->recordPlacement(decision.server->id);
+    m_rejections.erase(flowHash);
     m_cache.store(flowHash, { .serverId = decision.server->id, .incarnation = decision.server->incarnation });
     return decision;
 }
@@ -113,33 +117,38 @@
 }
 
 // Answers load beyond what the servers in the callers' zone, or all servers, can take: new flows go to servers with room first,
-// and are rejected here rather than after a walk over the agents if no server has any for their priority. unanswered is the
+// and are rejected here rather than after a walk over the agents if no server has any for their priority. previous is the
 // server to which an earlier transmission of the SYN was sent; null if unknown.
-EntryDecision EntryRouter::placeByLoad(const fleet::ServiceEntry& service, const fleet::RouteEntry& route, std::uint64_t flowHash, const fleet::ServerEntry* unanswered) const
+EntryDecision EntryRouter::placeByLoad(const fleet::ServiceEntry& service, const fleet::RouteEntry& route, std::uint64_t flowHash, std::uint32_t retransmissions, const fleet::ServerEntry* previous) const
 {
     // A service's servers are sorted by id.
     ServerLoadView::Lookup lookup(*m_loadView, route.priority);
     bool anyAccepting = false;
-    const fleet::ServerEntry* lastResort = nullptr;
+    bool anyFull = false;
+    bool previousAccepts = false;
     const auto key = [&](const fleet::ServerEntry& server) -> std::optional<unsigned> {
         if (!server.accepting())
             return std::nullopt;
         anyAccepting = true;
         const auto load = lookup.load(server.id);
-        if (load.full)
+        anyFull = anyFull || load.full;
+        previousAccepts = previousAccepts || &server == previous;
+        if (load.full || &server == previous)
             return std::nullopt;
-        if (&server == unanswered) {
-            lastResort = &server;
-            return std::nullopt;
-        }
         return placementKey(load, server.zone != m_zone, route.kind);
     };
     const auto* server = lowestRanked(flowHash, service.servers, key);
-    if (!server)
-        server = lastResort;
-    if (!server)
-        return reset(anyAccepting ? EntryReason::ServiceFull : EntryReason::NoServer);
-    return place(*server, EntryReason::LeastLoaded);
+    if (!anyAccepting)
+        return reset(EntryReason::NoServer);
+    // If the others are full, callers would wait in vain for a server that does not answer.
+    const bool hasRoom = server && !(anyFull && m_loadView->load(server->id, route.priority, m_loadView->now()).unanswered);
+    if (hasRoom)
+        return place(*server, retransmissions ? EntryReason::NextAccepting : EntryReason::LeastLoaded);
+    // A reset says that nothing has run, so a SYN that may have reached a server is not reset here.
+    const bool mayHaveBeenForwarded = retransmissions && !m_rejections.contains(flowHash);
+    if (anyFull && !mayHaveBeenForwarded)
+        return reset(EntryReason::ServiceFull);
+    return previousAccepts ? place(*previous, EntryReason::NextAccepting) : placeByRank(service, flowHash, retransmissions);
 }
 
 const fleet::ServerEntry* EntryRouter::cachedServer(const fleet::FleetTable& table, std::uint64_t flowHash) const
--- a/src/passthrough/internal/placementexplanation.cpp
+++ b/src/passthrough/internal/placementexplanation.cpp
@@ -87,9 +87,14 @@
         previousKey = key;
         *record.add_candidates() = std::move(candidate);
     }
-    if (place)
+    if (record.candidates().empty() || !std::ranges::any_of(service.servers, &fleet::ServerEntry::accepting))
+        return EntryReason::NoServer;
+    const bool anyFull = std::ranges::any_of(record.candidates(), [](const auto& candidate) { return candidate.load() == "full"; });
+    if (place && !(anyFull && record.candidates(0).load() == "unanswered"))
         return loadView && !loadView->empty() ? EntryReason::LeastLoaded : EntryReason::FirstAccepting;
-    return std::ranges::any_of(service.servers, &fleet::ServerEntry::accepting) ? EntryReason::ServiceFull : EntryReason::NoServer;
+    for (auto& candidate : *record.mutable_candidates())
+        candidate.set_place(0);
+    return EntryReason::ServiceFull;
 }
 
 void setDecision(EntryReason reason, schema::PlacementRecord& record)
--- a/src/passthrough/internal/serverloadview.cpp
+++ b/src/passthrough/internal/serverloadview.cpp
@@ -15,6 +15,10 @@
 // Longer than the time between the two retransmissions of a SYN (400 ms), so that the second retransmission avoids the server
 // of the first transmission as well.
 constexpr std::chrono::milliseconds unansweredValidity { 500 };
+// Callers retransmit a SYN after 200 ms; the rest covers the way to the balancer.
+constexpr std::chrono::milliseconds probeValidity { 250 };
+// How long a server without answers is probed before it counts as any other.
+constexpr std::chrono::seconds probePeriod { 5 };
 
 } // namespace
 
@@ -65,13 +69,24 @@
     auto& record = m_servers[serverId];
     record.recordedAt = m_clock.now();
     record.unansweredUntil = record.recordedAt + unansweredValidity;
+    record.probeUntil = record.unansweredUntil + probePeriod;
+}
+
+void ServerLoadView::recordPlacement(std::uint32_t serverId)
+{
+    const auto found = m_servers.find(serverId);
+    const auto now = m_clock.now();
+    if (found == m_servers.end() || found->second.unansweredUntil > now || found->second.probeUntil <= now)
+        return;
+    found->second.unansweredUntil = now + probeValidity;
+    found->second.probeUntil = {};
 }
 
 void ServerLoadView::recordAnswer(std::uint32_t serverId)
 {
     const auto found = m_servers.find(serverId);
     if (found != m_servers.end())
-        found->second.unansweredUntil = {};
+        found->second.unansweredUntil = found->second.probeUntil = {};
 }
 
 PerceivedLoad ServerLoadView::load(std::uint32_t serverId, std::uint32_t priority, MonotonicTime now) const
--- a/src/passthrough/serverloadview.h
+++ b/src/passthrough/serverloadview.h
@@ -33,6 +33,10 @@
     // Records that a caller retransmitted a SYN that was forwarded to the server.
     void recordUnanswered(std::uint32_t serverId);
 
+    // Records that a SYN was forwarded to the server. After a time without answers, the first such SYN is a probe: further ones
+    // avoid the server until the probe would have been retransmitted.
+    void recordPlacement(std::uint32_t serverId);
+
     // Records a sign that the server's agent runs.
     void recordAnswer(std::uint32_t serverId);
 
--- a/src/passthrough/tests/entryplacement.cpp
+++ b/src/passthrough/tests/entryplacement.cpp
@@ -108,6 +108,41 @@
     checkPlacements({ 1, 2 });
 }
 
+// Guards against a reset, which says that nothing has run, for a SYN that a server may have got through this balancer or another.
+TEST(EntryPlacement, ResetsOnlyRetransmissionsOfSynsThatItRejected)
+{
+    const auto forwardedTo = router.decide(synPacket(7), *table).server;
+    notify(LoadLevel::Full, { 1, 2, 3 });
+    CHECK(router.decide(synPacket(7, 1), *table).server == forwardedTo);
+    CHECK(router.decide(synPacket(8, 1), *table).action == EntryAction::Forward);
+    CHECK(router.decide(synPacket(9), *table).action == EntryAction::Reset);
+    CHECK(router.decide(synPacket(9, 1), *table).action == EntryAction::Reset);
+    clock.advance(100ms);
+    CHECK(router.decide(synPacket(9), *table).action == EntryAction::Forward);
+    notify(LoadLevel::Full, { 1, 2, 3 });
+    CHECK(router.decide(synPacket(9, 1), *table).action == EntryAction::Forward);
+}
+
+// Guards against callers that wait for a failed server while the others are full, and against a server that recovers unnoticed.
+TEST(EntryPlacement, ProbesServerWithoutAnswersWithOneSyn)
+{
+    router.decide(synPacket(1), *table);
+    router.decide(synPacket(1, 1), *table);
+    std::uint32_t failed = 1;
+    while (!view.load(failed, low, clock.now()).unanswered)
+        ++failed;
+    const auto fillOthers = [&] { notify(LoadLevel::Full, { failed % 3 + 1, (failed + 1) % 3 + 1 }); };
+    fillOthers();
+    checkPlacements({ 0 });
+    clock.advance(500ms);
+    fillOthers();
+    checkPlacements({ failed, 0 });
+    checkPlacements({ 0 });
+    clock.advance(250ms);
+    fillOthers();
+    checkPlacements({ failed });
+}
+
 // Guards against a full service that affects another one.
 TEST(EntryPlacement, FullServiceLeavesIdleServiceUntouched)
 {
--- a/src/passthrough/tests/placementscenario.h
+++ b/src/passthrough/tests/placementscenario.h
@@ -23,6 +23,8 @@
     double shiftedCallers = 0;
     // Share of the load notices that are lost.
     double lostNotices = 0;
+    // Servers whose VMs have failed without the table saying so: SYNs sent there are lost.
+    std::uint32_t failedServers = 0;
     // Whether balancers place by load.
     bool placesByLoad = true;
     std::uint64_t seed = 1;
--- a/src/passthrough/tests/placementsimulation.cpp
+++ b/src/passthrough/tests/placementsimulation.cpp
@@ -34,6 +34,7 @@
 constexpr milliseconds handshake { 4 };
 constexpr std::uint32_t reserve = 1;
 constexpr int maximumAttempts = 3;
+constexpr milliseconds attemptTimeout { 1400 };
 // Servers visited to find a free slot, and in all.
 constexpr std::size_t maximumSlotVisits = 4;
 constexpr std::size_t maximumVisits = 8;
@@ -114,7 +115,7 @@
         m_events.erase(first);
         event();
     }
-    m_outcomes.goodput = std::chrono::duration<double>(m_servedWork) / (std::chrono::duration<double>(m_scenario.burst) * m_scenario.servers * m_scenario.slots);
+    m_outcomes.goodput = std::chrono::duration<double>(m_servedWork) / (std::chrono::duration<double>(m_scenario.burst) * (m_scenario.servers - m_scenario.failedServers) * m_scenario.slots);
     return m_outcomes;
 }
 
@@ -167,10 +168,24 @@
     if (++state.attempts > maximumAttempts)
         return;
     ++m_attempts;
-    Opening opening { .request = request, .packet = {}, .visited = {} };
+    Opening opening { .request = request, .attempt = state.attempts, .packet = {}, .visited = {} };
     opening.packet.key = { .caller = { .address = 0x64400000 + (m_attempts >> 16), .port = static_cast<std::uint16_t>(m_attempts) }, .service = routeEndpoint(state.kind) };
     opening.packet.syn = true;
-    schedule(callerDelay, [this, opening] { place(opening); });
+    for (std::uint32_t retransmissions = 0; retransmissions < FlowPacket::synTransmitTimes.size(); ++retransmissions)
+        schedule(FlowPacket::synTransmitTimes[retransmissions], [this, opening, retransmissions] { sendSyn(opening, retransmissions); });
+    schedule(attemptTimeout, [this, request, attempt = state.attempts] {
+        if (m_requests[request].answeredAttempt < attempt)
+            startAttempt(request);
+    });
+}
+
+void PlacementSimulation::sendSyn(const Opening& opening, std::uint32_t retransmissions)
+{
+    if (m_requests[opening.request].answeredAttempt >= opening.attempt)
+        return;
+    auto sent = opening;
+    sent.packet.acknowledgement = retransmissions;
+    schedule(callerDelay, [this, sent] { place(sent); });
 }
 
 void PlacementSimulation::place(const Opening& opening)
@@ -188,6 +203,8 @@
 
 void PlacementSimulation::arrive(Node& node, Opening opening)
 {
+    if (node.id <= m_scenario.failedServers)
+        return;
     if (m_clock.now() >= m_burstStart && m_clock.now() < m_burstEnd)
         ++m_outcomes.visits;
     if (node.inFlight < m_scenario.slots + reserve && node.queue.empty()) {
@@ -205,9 +222,11 @@
     reject(opening.request, linkDelay + callerDelay);
 }
 
-// Puts the opening into the agent's queue; false if it is rejected.
+// Puts the opening into the agent's queue; false if it is rejected, as each retransmission is.
 bool PlacementSimulation::wait(Node& node, const Opening& opening)
 {
+    if (opening.packet.synRetransmissions())
+        return false;
     const auto& kind = classes[m_requests[opening.request].kind];
     const auto now = m_clock.now();
     const auto limit = std::min<Duration>(kind.target / 3, maximumWait);
@@ -237,6 +256,7 @@
 void PlacementSimulation::deliver(Node& node, const Opening& opening)
 {
     ++node.inFlight;
+    m_requests[opening.request].answeredAttempt = opening.attempt;
     dataplane::LoadNotice notice { .level = dataplane::LoadLevel::Busy, .validity = busyValidity, .servers = {} };
     std::ranges::copy_if(opening.visited, std::back_inserter(notice.servers), [&](auto id) { return id != node.id; });
     notify(opening.request, notice);
@@ -299,6 +319,7 @@
 {
     if (m_clock.now() >= m_burstEnd)
         m_outcomes.lastRejection = m_clock.now() - m_burstEnd;
+    m_requests[request].answeredAttempt = m_requests[request].attempts;
     schedule(delay, [this, request] { startAttempt(request); });
 }
 
--- a/src/passthrough/tests/placementsimulation.h
+++ b/src/passthrough/tests/placementsimulation.h
@@ -35,11 +35,14 @@
         std::size_t balancer = 0;
         bool shifted = false;
         int attempts = 0;
+        // The last attempt that was opened or reset.
+        int answeredAttempt = 0;
     };
 
     // A SYN on its way through the agents.
     struct Opening {
         std::size_t request = 0;
+        int attempt = 0;
         FlowPacket packet;
         std::vector<std::uint32_t> visited;
     };
@@ -68,6 +71,7 @@
     void schedule(Duration delay, std::function<void()> event);
     void scheduleArrivals();
     void startAttempt(std::size_t request);
+    void sendSyn(const Opening& opening, std::uint32_t retransmissions);
     void place(const Opening& opening);
     void arrive(Node& node, Opening opening);
     bool wait(Node& node, const Opening& opening);
--- a/src/passthrough/tests/placementunderload.cpp
+++ b/src/passthrough/tests/placementunderload.cpp
@@ -57,6 +57,15 @@
     CHECK(simulate({ .burstLoad = 6 }).visits < simulate({ .burstLoad = 6, .placesByLoad = false }).visits / 2);
 }
 
+// Guards against a failed VM that looks idle to the balancers and attracts the new flows of all zones.
+TEST(PlacementUnderLoad, FailedServerAttractsNoLoad)
+{
+    const auto outcomes = simulate({ .failedServers = 1 });
+    CHECK(outcomes.goodput >= goodputTarget);
+    CHECK(share(outcomes.afterBurst.servedInTime, outcomes.afterBurst.sent) >= servedTarget);
+    CHECK(share(outcomes.burst[1].served, outcomes.burst[1].sent) >= servedTarget);
+}
+
 // Guards against callers of a crowded zone that are served worse while servers of other zones are free.
 TEST(PlacementUnderLoad, ShiftedCallersAreServedLikeOthers)
 {
--- a/src/passthrough/types/serverloadrecord.h
+++ b/src/passthrough/types/serverloadrecord.h
@@ -11,6 +11,8 @@
 struct ServerLoadRecord {
     MonotonicTime busyUntil;
     MonotonicTime unansweredUntil;
+    // Until then, the first SYN after unansweredUntil is a probe.
+    MonotonicTime probeUntil;
     MonotonicTime fullUntil;
     // Highest priority (smallest number) for which the server is full.
     std::uint32_t fullPriority = 0;
@@ -20,7 +22,7 @@
     // Load for a new flow of the priority.
     PerceivedLoad load(std::uint32_t priority, MonotonicTime now) const { return { .full = fullUntil > now && priority >= fullPriority, .unanswered = unansweredUntil > now, .busy = busyUntil > now }; }
 
-    bool expired(MonotonicTime now) const { return busyUntil <= now && unansweredUntil <= now && fullUntil <= now; }
+    bool expired(MonotonicTime now) const { return busyUntil <= now && unansweredUntil <= now && probeUntil <= now && fullUntil <= now; }
 };
 
 } // namespace clementinesill::passthrough
