--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -1,3 +1,5 @@
+#include "admin.pb.h"
+#include "admin/iadminsource.h"
 #include "dataplane/genevecodec.h"
 #include "dataplane/internal/flowcache.h"
 #include "dataplane/types/genevemessage.h"
@@ -17,6 +19,7 @@
 #include "passthrough/ipacketformat.h"
 #include "passthrough/linkadmission.h"
 #include "passthrough/passthroughmodules.h"
+#include "passthrough/placementexplanation.h"
 #include "passthrough/serverloadview.h"
 #include "passthrough/types/entrypacket.h"
 #include "settings.pb.h"
@@ -60,17 +63,18 @@
     return route ? route->priority : std::numeric_limits<std::uint32_t>::max();
 }
 
-class PassThroughBalancer final : public IRoleModule {
+class PassThroughBalancer final : public IRoleModule, private admin::IAdminSource {
 public:
     PassThroughBalancer(const schema::DaemonSettings& settings, fleet::IFleetClient& fleet, const IPacketFormat& format, const ReadyListenerFactory& makeReadyListener, MetricsRegistry& metrics)
         : m_settings(settings.balancer().pass_through())
+        , m_zone(settings.zone())
         , m_fleet(fleet)
         , m_format(format)
         , m_makeReadyListener(makeReadyListener)
         , m_metrics(metrics)
         , m_cache(settings.balancer().flow_cache_entries() ? settings.balancer().flow_cache_entries() : defaultCacheEntries)
         , m_usesLoadNotices(m_settings.overload().load_notices())
-        , m_router(m_cache, settings.zone(), m_usesLoadNotices ? &m_loadView : nullptr)
+        , m_router(m_cache, m_zone, m_usesLoadNotices ? &m_loadView : nullptr)
         , m_noticeCounter(metrics.counter("load_notices_total"))
         , m_linkAdmission(linkAdmissionOptions(m_settings, format), m_clock, metrics)
         , m_peerEndpoint(parseEndpoint(m_settings.peer_endpoint()))
@@ -111,14 +115,29 @@
         m_thread.join();
     }
 
+    const admin::IAdminSource* adminSource() const override { return this; }
+
 private:
+    void report(schema::DaemonReport& report) const override { report.set_version(m_fleet.tables().table()->version()); }
+
+    schema::FlowList flows(const schema::FlowQuery&) const override { return {}; }
+
+    schema::DecisionList explain(const schema::ExplainQuery&) const override { return {}; }
+
+    void explainPlacement(const schema::PlacementQuery& query, schema::PlacementList& list) const override
+    {
+        const auto table = m_fleet.tables().table();
+        const std::lock_guard lock(m_routerMutex);
+        list.MergeFrom(passthrough::explainPlacement(parseEndpoint(query.address()), *table, m_zone, m_usesLoadNotices ? &m_loadView : nullptr));
+    }
+
     void addLoadMetrics()
     {
         m_metrics.describe("load_notices_total", "load notices received from agents");
         m_metrics.describe("entry_servers_seen", "servers whose load the balancer currently knows, by load");
-        static constexpr std::array<std::pair<PerceivedLoad, std::size_t LoadViewCounts::*>, 3> counts { { { PerceivedLoad::Busy, &LoadViewCounts::busy }, { PerceivedLoad::Unanswered, &LoadViewCounts::unanswered }, { PerceivedLoad::Full, &LoadViewCounts::full } } };
+        static constexpr std::array<std::pair<const char*, std::size_t LoadViewCounts::*>, 3> counts { { { "busy", &LoadViewCounts::busy }, { "unanswered", &LoadViewCounts::unanswered }, { "full", &LoadViewCounts::full } } };
         for (const auto& [load, count] : counts) {
-            m_metrics.addGauge("entry_servers_seen", { { "load", std::string(name(load)) } }, [this, count = count] {
+            m_metrics.addGauge("entry_servers_seen", { { "load", load } }, [this, count = count] {
                 const std::lock_guard lock(m_routerMutex);
                 return static_cast<double>(m_loadView.counts().*count);
             });
@@ -201,6 +220,7 @@
     }
 
     const schema::PassThroughSettings m_settings;
+    const std::string m_zone;
     fleet::IFleetClient& m_fleet;
     SystemClock m_clock;
     const IPacketFormat& m_format;
@@ -210,8 +230,8 @@
     const bool m_usesLoadNotices;
     ServerLoadView m_loadView { m_clock };
     EntryRouter m_router;
-    // Guards the router and the view, which the metrics read on another thread.
-    std::mutex m_routerMutex;
+    // Guards the router and the view, which metrics and admin pages read on other threads.
+    mutable std::mutex m_routerMutex;
     Counter& m_noticeCounter;
     LinkAdmission m_linkAdmission;
     std::vector<EntryPacket> m_batch;
--- a/src/passthrough/internal/serverloadview.cpp
+++ b/src/passthrough/internal/serverloadview.cpp
@@ -4,7 +4,6 @@
 #include "fleet/fleettable.h"
 
 #include <algorithm>
-#include <array>
 
 namespace clementinesill::passthrough {
 
@@ -13,13 +12,20 @@
 // Longer than the time between the two retransmissions of a SYN (400 ms), so that the second retransmission avoids the server
 // of the first transmission as well.
 constexpr std::chrono::milliseconds unansweredValidity { 500 };
+// Callers retransmit a SYN after 200 ms; the rest covers the way to the balancer.
+constexpr std::chrono::milliseconds probeValidity { 250 };
+// How long a server without answers is probed before it counts as any other.
+constexpr std::chrono::seconds probePeriod { 5 };
 
 } // namespace
 
-std::string_view name(PerceivedLoad load)
+std::string_view name(const PerceivedLoad& load)
 {
-    static constexpr std::array<std::string_view, 4> names { "none", "busy", "unanswered", "full" };
-    return names.at(static_cast<std::size_t>(load));
+    if (load.full)
+        return "full";
+    if (load.unanswered)
+        return "unanswered";
+    return load.busy ? "busy" : "none";
 }
 
 ServerLoadView::ServerLoadView(const IClock& clock)
@@ -60,25 +66,30 @@
     auto& record = m_servers[serverId];
     record.recordedAt = m_clock.now();
     record.unansweredUntil = record.recordedAt + unansweredValidity;
+    record.probeUntil = record.unansweredUntil + probePeriod;
+}
+
+void ServerLoadView::recordPlacement(std::uint32_t serverId)
+{
+    const auto found = m_servers.find(serverId);
+    const auto now = m_clock.now();
+    if (found == m_servers.end() || found->second.unansweredUntil > now || found->second.probeUntil <= now)
+        return;
+    found->second.unansweredUntil = now + probeValidity;
+    found->second.probeUntil = {};
 }
 
 void ServerLoadView::recordAnswer(std::uint32_t serverId)
 {
     const auto found = m_servers.find(serverId);
     if (found != m_servers.end())
-        found->second.unansweredUntil = {};
+        found->second.unansweredUntil = found->second.probeUntil = {};
 }
 
 PerceivedLoad ServerLoadView::load(std::uint32_t serverId, std::uint32_t priority, MonotonicTime now) const
 {
     const auto* found = record(serverId);
-    if (!found)
-        return PerceivedLoad::None;
-    if (found->fullUntil > now && priority >= found->fullPriority)
-        return PerceivedLoad::Full;
-    if (found->unansweredUntil > now)
-        return PerceivedLoad::Unanswered;
-    return found->busyUntil > now ? PerceivedLoad::Busy : PerceivedLoad::None;
+    return found ? found->load(priority, now) : PerceivedLoad();
 }
 
 const ServerLoadRecord* ServerLoadView::record(std::uint32_t serverId) const
