Accept no late copy of a response as the next one

A server sent a second copy of a response, late, on a connection that carried the next request. The new tests failed on the code before: the next caller received the copy (RequestTask.LateCopyOfResponseDoesNotReachNextRequest, ReusedConnectionNeedsNamedExchange, RequestTracker.ReusedConnection...), and in pass-through mode a retransmitted packet of a response counted as the response to the next request, so that a running request's slot was counted as free (FlowTracker.LateCopyOfResponseDoesNotEndNextRequest).

Requests: a server connection is reused only if the response names its exchange, and then every response on it must. A mismatch on a reused connection is retried on a new one for idempotent requests. A server that does not return Clementinesill-Exchange costs one loopback connect for each request; the cost was not measured. The server of RequestProxy's tests now names the exchange, because the test that counts connections asserts reuse.

Packets: only a packet with new data counts as a response, and a late packet of an earlier flow with the same ports no longer hides the SYN-ACK (found by reading; its test was not run on the code before).

--- a/src/passthrough/internal/flowtracker.cpp
+++ b/src/passthrough/internal/flowtracker.cpp
@@ -103,16 +103,20 @@
         flow.nextCallerSequence = packet.acknowledgement;
         flow.nextServerSequence = packet.sequence;
     }
-    if (packet.syn && !flow.synAckSeen)
+    // A late packet of an earlier flow with the same ports may arrive before the SYN-ACK.
+    if (!flow.synAckSeen || (packet.syn && !flow.established))
         flow.initialServerSequence = flow.nextServerSequence = packet.sequence;
     flow.synAckSeen = true;
     flow.lastPacketTime = now;
-    advance(flow.nextServerSequence, packet.sequence + packet.payloadBytes);
+    const auto end = packet.sequence + packet.payloadBytes;
+    // A retransmitted packet of an earlier response is no response to the current request.
+    const bool hasNewData = packet.payloadBytes && sequenceDistance(flow.nextServerSequence, end) > 0;
+    advance(flow.nextServerSequence, end);
     flow.serverFinSeen = flow.serverFinSeen || packet.fin;
     flow.reset = flow.reset || packet.rst;
-    if (packet.payloadBytes && flow.awaitsResponse && m_options.responseStarted)
+    if (hasNewData && flow.awaitsResponse && m_options.responseStarted)
         m_options.responseStarted(key, now - flow.requestTime);
-    if (packet.payloadBytes)
+    if (hasNewData)
         finishRequest(flow, true);
     else if (flow.closed())
         finishRequest(flow, false);
--- a/src/passthrough/tests/flowtracker.cpp
+++ b/src/passthrough/tests/flowtracker.cpp
@@ -44,6 +44,40 @@
     LONGS_EQUAL(0, load.outstanding());
 }
 
+// Guards against a late copy of a response that counts as the response to the next request on the flow: the server would seem to
+// have a free slot while it runs that request.
+TEST(FlowTracker, LateCopyOfResponseDoesNotEndNextRequest)
+{
+    openFlow();
+    flows.recordCallerPacket(callerPacket(5000, 300));
+    flows.recordServerPacket(serverPacket(5001, 1200));
+    flows.recordServerPacket(serverPacket(6201, 100));
+    LONGS_EQUAL(0, load.outstanding());
+    flows.recordCallerPacket(callerPacket(6300, 200, 1301));
+    flows.recordServerPacket(serverPacket(5001, 1200));
+    flows.recordServerPacket(serverPacket(6201, 100));
+    LONGS_EQUAL(1, load.outstanding());
+    flows.recordServerPacket(serverPacket(6301, 1));
+    LONGS_EQUAL(0, load.outstanding());
+}
+
+// Guards against a response that is never counted because the first packet that the agent saw from the server was no SYN-ACK.
+TEST(FlowTracker, ResponseCountsWithoutSynAck)
+{
+    flows.open(synPacket());
+    flows.recordServerPacket(serverPacket(3'000'000'000, 10));
+    LONGS_EQUAL(0, load.outstanding());
+}
+
+// Guards against a flow that is lost because the server sent a late packet of an earlier flow with the same ports.
+TEST(FlowTracker, LatePacketOfEarlierFlowDoesNotHideSynAck)
+{
+    flows.open(synPacket());
+    flows.recordServerPacket(serverPacket(3'000'000'000, 10));
+    flows.recordServerPacket(synAckPacket(5000));
+    CHECK(flows.matches(*flows.find(testFlow()), callerPacket(5000)));
+}
+
 TEST(FlowTracker, EndedFlowReleasesOutstandingRequest)
 {
     openFlow();
--- a/src/requests/internal/requestexchange.cpp
+++ b/src/requests/internal/requestexchange.cpp
@@ -70,11 +70,11 @@
     // The server may be closing an idle connection at this moment, which would leave the outcome of a non-idempotent request
     // unknown.
     m_connection = m_class == RequestClass::NonIdempotent || retried ? nullptr : m_proxy.pool.take();
-    const auto reused = m_connection != nullptr;
-    if (!reused)
+    m_connectionReused = m_connection != nullptr;
+    if (!m_connectionReused)
         m_connection = m_proxy.pool.create();
     m_input.setEndHandler([this] { onCallerEnd(); });
-    if (reused)
+    if (m_connectionReused)
         co_return m_proxy.tracker.bind(m_id, m_connection->id()) == BindResult::Bound;
     const Watchdog deadline(m_proxy.executor, remainingTime(), [connection = m_connection] { connection->abort(AbortReason::Deadline); });
     const auto error = co_await m_connection->connect(m_proxy.options.server);
@@ -256,8 +256,10 @@
 bool RequestTask::admitRetry(ExchangeResult result)
 {
     const auto abortReason = m_connection ? m_connection->abortReason() : AbortReason::None;
-    // endExchange has set Closed unless the exchange was aborted before.
-    const auto isConnectionLost = result == ExchangeResult::NoResponse && abortReason == AbortReason::Closed;
+    // endExchange has set Closed unless the exchange was aborted before. On a reused connection, a response that does not match
+    // may be a late copy of an earlier one.
+    const auto mayRetry = abortReason == AbortReason::Closed || (abortReason == AbortReason::ResponseMismatch && m_connectionReused);
+    const auto isConnectionLost = result == ExchangeResult::NoResponse && mayRetry;
     if (!isConnectionLost || m_class == RequestClass::NonIdempotent || m_bodyState != BodyState::None)
         return false;
     return remainingTime() > Duration::zero() && m_proxy.retryBudget.tryTake();
--- a/src/requests/internal/requesttask.h
+++ b/src/requests/internal/requesttask.h
@@ -100,6 +100,8 @@
     BodyState m_bodyState = BodyState::None;
     ReadResult m_bodyResult = ReadResult::Ok;
     Signal m_bodyStopped;
+    // m_connection has carried another request before.
+    bool m_connectionReused = false;
 };
 
 } // namespace clementinesill::requests
--- a/src/requests/internal/requesttracker.cpp
+++ b/src/requests/internal/requesttracker.cpp
@@ -36,7 +36,8 @@
     const auto found = m_connections.find(connection);
     if (found == m_connections.end() || found->second.abandoned || found->second.request == 0)
         return ResponseCheck::NoRequest;
-    if (echoed != 0 && echoed != found->second.request)
+    const bool mustEcho = echoed != 0 || found->second.reused;
+    if (mustEcho && echoed != found->second.request)
         return ResponseCheck::WrongRequest;
     const auto request = m_requests.find(found->second.request);
     if (request == m_requests.end() || !request->second.sent)
@@ -57,7 +58,7 @@
         return;
     found->second.complete = true;
     if (const auto bound = m_connections.find(found->second.connection); bound != m_connections.end())
-        bound->second.request = 0;
+        bound->second = { .reused = true };
     found->second.connection = 0;
 }
 
--- a/src/requests/internal/serverconnection.cpp
+++ b/src/requests/internal/serverconnection.cpp
@@ -75,6 +75,8 @@
 {
     if (m_abortReason != AbortReason::None || !responseDone() || !m_parser->get().keep_alive() || m_buffer.size() > 0)
         return false;
+    if (fieldValue(header(), exchangeField).empty())
+        return false;
     // Received bytes or an end of stream at this point belong to no request.
     error_code error;
     char byte = 0;
--- a/src/requests/internal/serverconnection.h
+++ b/src/requests/internal/serverconnection.h
@@ -53,8 +53,9 @@
     boost::asio::awaitable<error_code> readBody(std::span<char> buffer, std::size_t& size);
     bool responseDone() const { return m_parser && m_parser->is_done(); }
 
-    // Whether another exchange may follow: the response is complete, no bytes follow it, and the server keeps the
-    // connection alive.
+    // Whether another exchange may follow: the response is complete, no bytes follow it, the server keeps the connection
+    // alive, and it names the exchange in its responses. Without the name, a late copy of a response could not be told from
+    // the response to the next request.
     bool isReusable();
 
     // Closes the connection; pending operations fail. Only the first call's reason is kept.
--- a/src/requests/requesttracker.h
+++ b/src/requests/requesttracker.h
@@ -23,7 +23,7 @@
     Accepted,
     // The connection carries no request: the response is late or unsolicited.
     NoRequest,
-    // The response echoes the id of another request than the one its connection carries.
+    // The response echoes the id of another request than the one its connection carries, or none on a reused connection.
     WrongRequest,
 };
 
@@ -41,7 +41,8 @@
     // Must be called before the first byte of the request is written.
     void markSent(RequestId request);
 
-    // Called with a response's header. echoed: id of the request that the response echoes, 0 if none.
+    // Called with a response's header. echoed: id of the request that the response echoes, 0 if none. On a connection that has
+    // carried another request before, a response without id may be a late copy of an earlier one and is not accepted.
     ResponseCheck checkResponse(ConnectionId connection, RequestId echoed);
 
     // Must be called before the first byte of the response is written to the caller.
@@ -75,6 +76,8 @@
     struct Connection {
         RequestId request = 0;
         bool abandoned = false;
+        // It has carried a complete exchange.
+        bool reused = false;
     };
 
     std::unordered_map<RequestId, Request> m_requests;
--- a/src/requests/tests/fakeserver.h
+++ b/src/requests/tests/fakeserver.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace clementinesill::requests {
@@ -69,6 +70,15 @@
         co_await boost::asio::async_write(socket, boost::asio::buffer(bytes), boost::asio::as_tuple(boost::asio::use_awaitable));
     }
 
+    // The field by which a server's response names the exchange of the request.
+    static std::string echoField(std::string_view request)
+    {
+        constexpr std::string_view field = "Clementinesill-Exchange: ";
+        const auto start = request.find(field);
+        const auto end = request.find("\r\n", start);
+        return std::string(request.substr(start, end - start)) + "\r\n";
+    }
+
     // Resets the connection.
     static void reset(Socket& socket)
     {
--- a/src/requests/tests/irequestproxy.cpp
+++ b/src/requests/tests/irequestproxy.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::string_view simpleGet = "GET /a HTTP/1.1\r\nHost: s\r\n\r\n";
 
-// Responds to every request with the number of requests received.
+// Responds to every request with the number of requests received, and names the exchange.
 boost::asio::awaitable<void> respondToAll(FakeServer::Socket& socket, FakeServer& server)
 {
     while (true) {
@@ -19,7 +19,7 @@
         if (!received)
             co_return;
         const auto body = "answer " + std::to_string(server.requests.size());
-        const auto response = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const auto response = "HTTP/1.1 200 OK\r\n" + FakeServer::echoField(server.requests.back()) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         co_await FakeServer::write(socket, response);
     }
 }
--- a/src/requests/tests/requesttask.cpp
+++ b/src/requests/tests/requesttask.cpp
@@ -184,7 +184,7 @@
         const auto received = co_await FakeServer::readRequest(socket, server);
         if (!received)
             co_return;
-        const auto response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n#" + std::to_string(server.requests.size());
+        const auto response = "HTTP/1.1 200 OK\r\n" + FakeServer::echoField(server.requests.back()) + "Content-Length: 2\r\n\r\n#" + std::to_string(server.requests.size());
         co_await FakeServer::write(socket, response + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
         char byte = 0;
         co_await FakeServer::readByte(socket, byte);
@@ -197,6 +197,57 @@
     CHECK_FALSE(contains(caller.received, "extra"));
 }
 
+// Guards against a second copy of a response that arrives late, on a connection that carries the next request, and is taken for
+// that request's response. A server that names exchanges has its connections reused, one that does not gets a new one each time.
+TEST(RequestTask, LateCopyOfResponseDoesNotReachNextRequest)
+{
+    for (const bool echoes : { false, true }) {
+        ProxyHarness harness([echoes](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+            std::string previous;
+            while (true) {
+                const auto received = co_await FakeServer::readRequest(socket, server);
+                if (!received)
+                    co_return;
+                const auto request = server.requests.back();
+                const auto target = request.substr(4, 2);
+                const auto response = "HTTP/1.1 200 OK\r\n" + (echoes ? FakeServer::echoField(request) : "") + "Content-Length: 2\r\n\r\n" + target;
+                co_await FakeServer::write(socket, previous + response);
+                previous = response;
+            }
+        });
+        auto& first = harness.connect();
+        first.send("GET /1 HTTP/1.1\r\nHost: s\r\n\r\n");
+        CHECK(harness.runUntilReceived(first, "\r\n\r\n/1"));
+        auto& second = harness.connect();
+        second.send("GET /2 HTTP/1.1\r\nHost: s\r\n\r\n");
+        CHECK(harness.runUntilReceived(second, "\r\n\r\n/"));
+        CHECK_FALSE(contains(second.received, "\r\n\r\n/1"));
+        CHECK(contains(second.received, "\r\n\r\n/2"));
+    }
+}
+
+// Guards against a server that names its exchange in the first response only: the connection is in use again, and a response
+// without the name may be a late copy.
+TEST(RequestTask, ReusedConnectionNeedsNamedExchange)
+{
+    ProxyHarness harness([](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+        for (int count = 0;; ++count) {
+            const auto received = co_await FakeServer::readRequest(socket, server);
+            if (!received)
+                co_return;
+            const auto body = count ? "late" : "own!";
+            const auto response = "HTTP/1.1 200 OK\r\n" + (count ? std::string() : FakeServer::echoField(server.requests.back())) + "Content-Length: 4\r\n\r\n" + body;
+            co_await FakeServer::write(socket, response);
+        }
+    });
+    for (int count = 0; count < 2; ++count) {
+        auto& caller = harness.connect();
+        caller.send("GET /1 HTTP/1.1\r\nHost: s\r\n\r\n");
+        CHECK(harness.runUntilReceived(caller, "\r\n\r\nown!"));
+        CHECK_FALSE(contains(caller.received, "late"));
+    }
+}
+
 TEST(RequestTask, RetriesOnlyIdempotentRequests)
 {
     constexpr std::string_view postWithoutBody = "POST /order HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n";
--- a/src/requests/tests/requesttracker.cpp
+++ b/src/requests/tests/requesttracker.cpp
@@ -37,6 +37,22 @@
     CHECK(tracker.checkResponse(2, second) == ResponseCheck::Accepted);
 }
 
+// Guards against a late copy of a response that names no exchange, on a connection that carries its second request.
+TEST(RequestTracker, ReusedConnectionAcceptsOnlyResponseThatNamesRequest)
+{
+    const auto first = tracker.begin();
+    tracker.bind(first, 1);
+    tracker.markSent(first);
+    CHECK(tracker.checkResponse(1, 0) == ResponseCheck::Accepted);
+    tracker.complete(first);
+    const auto second = tracker.begin();
+    CHECK(tracker.bind(second, 1) == BindResult::Bound);
+    tracker.markSent(second);
+    CHECK(tracker.checkResponse(1, 0) == ResponseCheck::WrongRequest);
+    CHECK(tracker.checkResponse(1, first) == ResponseCheck::WrongRequest);
+    CHECK(tracker.checkResponse(1, second) == ResponseCheck::Accepted);
+}
+
 TEST(RequestTracker, SentRequestIsNeverReportedNotRun)
 {
     const auto request = tracker.begin();
