Serve requests that follow a response begun before a drain

A response whose header was sent before a drain announces a kept connection. When it ended during the drain, the connection was closed at once, and a request that the caller had already sent was discarded without a response. RequestProxy.DrainServesRequestOnConnectionAnnouncedAsKept showed this: the second request got no response.

Such a connection now serves one more request, with Connection: close, if it arrives within the drain grace period.

--- a/src/requests/internal/callerconnection.cpp
+++ b/src/requests/internal/callerconnection.cpp
@@ -4,6 +4,7 @@
 #include "net/ibytestream.h"
 #include "requests/internal/requesttask.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -39,6 +40,9 @@
     while (keepAlive) {
         keepAlive = co_await serveRequest(idleTimeout);
         idleTimeout = m_proxy.options.limits.keepAliveTimeout;
+        // The response did not announce that the connection is closed, so the caller may have sent its next request.
+        if (m_proxy.draining)
+            idleTimeout = std::min(idleTimeout, m_proxy.options.drainGracePeriod);
     }
 }
 
@@ -58,7 +62,7 @@
         keepAlive = co_await task.run();
     }
     m_reader = nullptr;
-    co_return keepAlive && !m_proxy.draining;
+    co_return keepAlive;
 }
 
 boost::asio::awaitable<void> CallerConnection::reject(ReadResult result)
--- a/src/requests/tests/irequestproxy.cpp
+++ b/src/requests/tests/irequestproxy.cpp
@@ -113,6 +113,67 @@
     CHECK(harness.runUntilServed());
 }
 
+// Guards against a request that is cut off by a stop although its connection was announced as kept: the response before it was
+// started, without Connection: close, before the drain.
+TEST(RequestProxy, DrainServesRequestOnConnectionAnnouncedAsKept)
+{
+    ProxyHarness harness([](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+        co_await FakeServer::readRequest(socket, server);
+        if (server.requests.size() > 1) {
+            co_await FakeServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+            co_return;
+        }
+        co_await FakeServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfir");
+        server.resumeSignal = std::make_unique<Signal>(socket.get_executor());
+        co_await server.resumeSignal->wait();
+        co_await FakeServer::write(socket, "st");
+    },
+        { .drainGracePeriod = std::chrono::milliseconds(100) });
+    // The second request arrives before, or shortly after, the end of the first response.
+    for (const bool early : { true, false }) {
+        harness.proxy->resume();
+        harness.server->requests.clear();
+        harness.server->resumeSignal.reset();
+        auto& caller = harness.connect();
+        caller.send(simpleGet);
+        CHECK(harness.runUntilReceived(caller, "fir"));
+        CHECK_FALSE(contains(caller.received, "Connection: close"));
+        harness.proxy->drain();
+        if (early)
+            caller.send(simpleGet);
+        CHECK(harness.runUntil([&] { return harness.server->resumeSignal != nullptr; }));
+        harness.server->resumeSignal->notify();
+        CHECK(harness.runUntilReceived(caller, "first"));
+        if (!early)
+            caller.send(simpleGet);
+        CHECK(harness.runUntil([&] { return contains(caller.received, "second") || caller.endedByProxy || caller.aborted; }));
+        CHECK(contains(caller.received, "second"));
+        CHECK(contains(caller.received, "Connection: close"));
+    }
+    CHECK(harness.runUntilServed());
+}
+
+// Guards against a connection announced as kept that delays a stop beyond the grace period.
+TEST(RequestProxy, DrainClosesConnectionAnnouncedAsKeptAfterGracePeriod)
+{
+    ProxyHarness harness([](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+        co_await FakeServer::readRequest(socket, server);
+        co_await FakeServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfir");
+        server.resumeSignal = std::make_unique<Signal>(socket.get_executor());
+        co_await server.resumeSignal->wait();
+        co_await FakeServer::write(socket, "st");
+    },
+        { .drainGracePeriod = std::chrono::milliseconds(1), .limits = { .keepAliveTimeout = std::chrono::minutes(10) } });
+    auto& caller = harness.connect();
+    caller.send(simpleGet);
+    CHECK(harness.runUntilReceived(caller, "fir"));
+    harness.proxy->drain();
+    CHECK(harness.runUntil([&] { return harness.server->resumeSignal != nullptr; }));
+    harness.server->resumeSignal->notify();
+    CHECK(harness.runUntil([&] { return caller.endedByProxy; }));
+    CHECK(contains(caller.received, "first"));
+}
+
 TEST(RequestProxy, RejectsAmbiguousFraming)
 {
     const std::vector<std::string> fields {
