Acknowledge a heartbeat only once the agent's loop has applied it

The pass-through agent acknowledged a heartbeat when it was posted to the event loop. Packets that the loop read in the same wake-up were still decided by the state before it.

The heartbeat's thread now waits until the loop has applied the report, for at most one second (chosen: 64 packets are decided in a few ms). Beyond that the report is answered with 503 instead of an acknowledgement. The server's shutdown report had the same fault and is treated alike.

--- a/src/passthrough/iheartbeathandler.h
+++ b/src/passthrough/iheartbeathandler.h
@@ -11,10 +11,11 @@
 public:
     virtual ~IHeartbeatHandler() = default;
 
-    // Must take effect for all flows that are opened after it returns, because the heartbeat is acknowledged then.
+    // Must take effect for all flows that are opened after it returns, because the heartbeat is acknowledged then. Throws Error
+    // (Unavailable) if it has not taken effect in time.
     virtual void onHeartbeat(const ServerHeartbeat& heartbeat) = 0;
 
-    // The server is shutting down permanently.
+    // The server is shutting down permanently. As above, no flow is opened after it returns.
     virtual void onServerShutdown(const std::string& name) = 0;
 };
 
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -50,6 +50,9 @@
 constexpr std::chrono::milliseconds registrationPollInterval { 100 };
 // How long a gauge waits for the loop before it reports 0.
 constexpr std::chrono::milliseconds gaugeTimeout { 200 };
+// How long a heartbeat waits for the loop to apply it. The loop reads at most 64 packets in a row, so that it takes longer only if
+// the agent is stuck.
+constexpr std::chrono::seconds applyTimeout { 1 };
 // Heartbeat intervals within which a server that has become cold reports it.
 constexpr int coldReportIntervals = 2;
 
@@ -103,12 +106,12 @@
 
     void onHeartbeat(const ServerHeartbeat& heartbeat) override
     {
-        asio::post(m_loop, [this, heartbeat] { handleHeartbeat(heartbeat); });
+        applyOnLoop([this, heartbeat] { handleHeartbeat(heartbeat); });
     }
 
     void onServerShutdown(const std::string& name) override
     {
-        asio::post(m_loop, [this, name] {
+        applyOnLoop([this, name] {
             if (!m_server.markShutDown(name))
                 return;
             log(LogLevel::Info, "server_left", { { .key = logkey::server, .value = name } });
@@ -117,6 +120,18 @@
     }
 
 private:
+    // Runs the task on the loop and returns once it has run, because the calling code then acknowledges its effect. Throws Error
+    // (Unavailable) if the loop does not run it in time; it may run later.
+    void applyOnLoop(std::function<void()> task)
+    {
+        const auto applied = std::make_shared<std::packaged_task<void()>>(std::move(task));
+        auto result = applied->get_future();
+        asio::post(m_loop, [applied] { (*applied)(); });
+        if (result.wait_for(applyTimeout) != std::future_status::ready)
+            throw Error(ErrorKind::Unavailable, "the agent is busy and has not applied the server's report yet", "send it again");
+        result.get();
+    }
+
     // On a VM that is being removed, the agent is stopped after its server has ended. If the server did not report its
     // shutdown, deregisters it, because searches would visit this agent until the lease expires.
     void deregisterEndedServer()
--- /dev/null
+++ b/src/passthrough/tests/passthroughagent.cpp
@@ -0,0 +1,258 @@
+#include "dataplane/genevecodec.h"
+#include "dataplane/types/genevemessage.h"
+#include "fleet/ifleetclient.h"
+#include "fleet/itablesource.h"
+#include "foundation/error.h"
+#include "foundation/irolemodule.h"
+#include "foundation/metrics.h"
+#include "net/ilistener.h"
+#include "net/udpsocket.h"
+#include "passthrough/iheartbeathandler.h"
+#include "passthrough/ipacketformat.h"
+#include "passthrough/passthroughmodules.h"
+#include "passthrough/tests/testtable.h"
+#include "passthrough/types/serverheartbeat.h"
+#include "settings.pb.h"
+
+#include <CppUTest/TestHarness.h>
+#include <array>
+#include <chrono>
+#include <condition_variable>
+#include <cstring>
+#include <functional>
+#include <future>
+#include <mutex>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace clementinesill;
+using namespace clementinesill::passthrough;
+
+namespace {
+
+// Upper bound of a wait; reached only if the agent fails.
+constexpr std::chrono::seconds waitTimeout { 20 };
+// Within this time an agent that does not wait for its loop has acknowledged a heartbeat.
+constexpr std::chrono::milliseconds earlyAcknowledgement { 100 };
+
+// A loopback address per process, so that test programs that run concurrently share no port.
+Endpoint loopback(std::uint16_t port)
+{
+    constexpr std::uint32_t processMask = 0xffff;
+    return { .address = 0x7f000001 | (static_cast<std::uint32_t>(getpid()) & processMask) << 8, .port = port };
+}
+
+// Packets are copies of FlowPacket. hold() stops the agent's loop at the next packet until release().
+class HoldingFormat final : public IPacketFormat {
+public:
+    std::optional<FlowPacket> decode(std::span<const std::byte> bytes) const override
+    {
+        std::unique_lock lock(m_mutex);
+        m_isHeld = m_hold;
+        m_changed.notify_all();
+        m_changed.wait(lock, [this] { return !m_hold; });
+        m_isHeld = false;
+        FlowPacket packet;
+        if (bytes.size() != sizeof(packet))
+            return std::nullopt;
+        std::memcpy(&packet, bytes.data(), sizeof(packet));
+        return packet;
+    }
+
+    void setMark(std::span<std::byte>, std::uint32_t) const override { }
+    std::vector<std::byte> makeReset(const FlowPacket&) const override { return std::vector<std::byte>(1); }
+
+    void hold()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_hold = true;
+    }
+
+    bool waitUntilHeld()
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, waitTimeout, [this] { return m_isHeld; });
+    }
+
+    void release()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_hold = false;
+        m_changed.notify_all();
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    mutable std::condition_variable m_changed;
+    mutable bool m_isHeld = false;
+    bool m_hold = false;
+};
+
+class FakeFleet final : public fleet::IFleetClient, public fleet::ITableSource {
+public:
+    void start() override { }
+    void stop() override { }
+    fleet::ITableSource& tables() override { return *this; }
+    fleet::Registration registerServer(const schema::ServerAnnouncement&) override { return { .serverId = 1, .incarnation = 1 }; }
+    bool renew(const schema::RenewRequest&) override { return true; }
+    void leave(const fleet::Registration&, bool) override { }
+    void interruptCalls() override { }
+    std::shared_ptr<const fleet::FleetTable> table() const override { return current; }
+    MonotonicTime confirmedAt() const override { return {}; }
+    MonotonicTime leaderConfirmedAt() const override { return {}; }
+    void recordSeenVersion(std::uint64_t) override { }
+
+    std::shared_ptr<const fleet::FleetTable> current;
+};
+
+class FakeListener final : public net::IListener {
+public:
+    void stop() override { }
+};
+
+class TestSocket {
+public:
+    explicit TestSocket(const Endpoint& endpoint)
+        : m_socket(net::openUdpSocket({ .endpoint = endpoint, .receiveTimeout = waitTimeout }))
+    {
+    }
+    ~TestSocket() { close(m_socket); }
+    TestSocket(const TestSocket&) = delete;
+    TestSocket& operator=(const TestSocket&) = delete;
+
+    bool waitForPacket() { return receive(0); }
+
+    std::size_t receiveAll()
+    {
+        std::size_t count = 0;
+        while (receive(MSG_DONTWAIT))
+            ++count;
+        return count;
+    }
+
+    // Sends the SYN as a balancer does to server 1.
+    void sendSyn(std::uint16_t callerPort, const Endpoint& agent, std::uint64_t tableVersion)
+    {
+        dataplane::GeneveMessage message;
+        message.serviceId = deskService;
+        message.route = dataplane::Route { .tableVersion = tableVersion, .serviceId = deskService, .serverId = 1, .incarnation = 1, .balancer = {}, .ingress = {}, .flags = dataplane::Route::opensFlow };
+        std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
+        const auto headerBytes = dataplane::encodeGeneveHeader(message, header);
+        const auto packet = synPacket(callerPort);
+        CHECK(net::sendDatagram(m_socket, std::span(header).first(headerBytes), std::as_bytes(std::span(&packet, 1)), agent));
+    }
+
+private:
+    bool receive(int flags)
+    {
+        std::array<std::byte, 2048> buffer;
+        return recv(m_socket, buffer.data(), buffer.size(), flags) > 0;
+    }
+
+    int m_socket;
+};
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(PassThroughAgent)
+{
+    const Endpoint agentEndpoint = loopback(8172);
+    const Endpoint otherAgentEndpoint = loopback(8173);
+    const Endpoint serverEndpoint = loopback(8174);
+    HoldingFormat format;
+    FakeFleet fleet;
+    MetricsRegistry metrics;
+    TestSocket server { serverEndpoint };
+    // Endpoint of all other agents, and source of the balancer's packets.
+    TestSocket others { otherAgentEndpoint };
+    IHeartbeatHandler* heartbeats = nullptr;
+    schema::DaemonSettings settings;
+    std::unique_ptr<IRoleModule> agent;
+
+    std::unique_ptr<IRoleModule> makeAgent(const schema::DaemonSettings& settings)
+    {
+        return makePassThroughAgent(settings, fleet, format,
+            [](const auto&, const auto&) { return std::make_unique<FakeListener>(); },
+            [this](const auto&, IHeartbeatHandler& handler) { heartbeats = &handler; return std::make_unique<FakeListener>(); }, metrics);
+    }
+
+    void setup() override
+    {
+        TestTable tables;
+        for (const std::uint32_t id : { 1, 2, 3, 4 })
+            tables.server(id).set_agent_endpoint(clementinesill::format(id == 1 ? agentEndpoint : otherAgentEndpoint));
+        fleet.current = tables.build();
+        settings.set_zone("mandaue");
+        settings.mutable_agent()->set_service("desk");
+        settings.mutable_agent()->set_server_endpoint(clementinesill::format(serverEndpoint));
+        auto& passThrough = *settings.mutable_agent()->mutable_pass_through();
+        passThrough.set_packet_endpoint(clementinesill::format(agentEndpoint));
+        passThrough.set_server_packets_endpoint(clementinesill::format(loopback(8175)));
+        passThrough.set_heartbeat_ms(60'000);
+        passThrough.set_flow_lifetime_seconds(60);
+        agent = makeAgent(settings);
+        agent->start();
+        heartbeats->onHeartbeat(heartbeat(1, false));
+    }
+
+    void teardown() override
+    {
+        format.release();
+        agent->stop();
+    }
+
+    ServerHeartbeat heartbeat(std::uint64_t sequence, bool draining) const
+    {
+        return { .name = "server-1", .service = "desk", .zone = "mandaue", .slots = 8, .draining = draining, .sequence = sequence, .startedAtMs = 5 };
+    }
+
+    void sendSyn(std::uint16_t callerPort) { others.sendSyn(callerPort, agentEndpoint, fleet.current->version()); }
+
+    // Stops the loop at the first of two SYNs that it reads in one wake-up, calls report meanwhile, and checks that no flow is
+    // opened at the server after report has returned.
+    void checkNoFlowOpensAfter(const std::function<void()>& report)
+    {
+        format.hold();
+        sendSyn(1);
+        sendSyn(2);
+        CHECK(format.waitUntilHeld());
+        auto reported = std::async(std::launch::async, report);
+        const bool acknowledgedEarly = reported.wait_for(earlyAcknowledgement) == std::future_status::ready;
+        format.release();
+        reported.get();
+        // Flows opened before the acknowledgement.
+        if (!acknowledgedEarly)
+            server.receiveAll();
+        sendSyn(3);
+        CHECK(others.waitForPacket());
+        LONGS_EQUAL(0, server.receiveAll());
+    }
+};
+// clang-format on
+
+// Guards against a heartbeat that is acknowledged while packets of the same wake-up are still decided by the state before it.
+TEST(PassThroughAgent, OpensNoFlowAfterDrainingHeartbeatIsAcknowledged)
+{
+    sendSyn(9);
+    CHECK(server.waitForPacket());
+    checkNoFlowOpensAfter([this] { heartbeats->onHeartbeat(heartbeat(2, true)); });
+}
+
+// The same for a server that reports its shutdown.
+TEST(PassThroughAgent, OpensNoFlowAfterShutdownIsAcknowledged)
+{
+    sendSyn(9);
+    CHECK(server.waitForPacket());
+    checkNoFlowOpensAfter([this] { heartbeats->onServerShutdown("server-1"); });
+}
+
+// Guards against an acknowledgement of a heartbeat that a stuck loop has not applied.
+TEST(PassThroughAgent, DoesNotAcknowledgeHeartbeatThatIsNotApplied)
+{
+    format.hold();
+    sendSyn(1);
+    CHECK(format.waitUntilHeld());
+    CHECK_THROWS(Error, heartbeats->onHeartbeat(heartbeat(2, true)));
+    format.release();
+}
