Report requests with an Idempotency-Key as unknown, never as not run

An agent has no record of a key that was used at another agent or before its own restart, because claims between agents have no transport. When it rejected a retry (no slot, no connection to the server, no room for a key, too few votes), it told the caller "not run" although an earlier attempt may have run, and the caller could send the work again with a new key. The same happened on the agent that had run the request when the Authorization field of the retry differed: 422, "not run", "send a new key".

RequestTask.NeverReportsKeyedRequestAsNotRun and KeyOfRequestThatRanIsNotReportedNotRunAfterFieldsChange failed before: both responses said not-run. KeyClaims.RejectsKeyedRequestWithoutMajority asserted not-run and was wrong, since a voter that does not respond may have granted the key to another agent; it now asserts unknown.

These responses now say unknown, and the message says that an earlier attempt may have run.

--- a/src/requests/internal/requesttask.cpp
+++ b/src/requests/internal/requesttask.cpp
@@ -32,8 +32,8 @@
     { "", http::status::ok, Outcome::Completed, false, "" },
     { "key_answer_gone", http::status::conflict, Outcome::Unknown, false, "the request of this Idempotency-Key ran and its answer is no longer stored; read its effect instead" },
     { "key_unknown", http::status::conflict, Outcome::Unknown, false, "the request of this Idempotency-Key may have run; check its effect before sending it with another key" },
-    { "key_mismatch", http::status::unprocessable_entity, Outcome::NotRun, false, "this Idempotency-Key belongs to another request; send a new key" },
-    { "key_store_full", http::status::service_unavailable, Outcome::NotRun, true, "the request was not run: too many keys are remembered; send it again after the time in Retry-After" },
+    { "key_mismatch", http::status::unprocessable_entity, Outcome::Unknown, false, "this attempt was not run: its Idempotency-Key belongs to a request with other content, which may have run; check its effect before sending a new key" },
+    { "key_store_full", http::status::service_unavailable, Outcome::Unknown, true, "this attempt was not run: too many keys are remembered; an earlier one with this key may have run; if there was none, send it again with the same key after the time in Retry-After" },
 } };
 
 LocalResponse keyResponse(KeyLookupResult result)
@@ -138,7 +138,7 @@
     auto response = keyResponse(KeyLookupResult::InProgress);
     m_reason = "key_taken";
     if (result == ClaimResult::NoMajority) {
-        response = { .retryAfter = failureRetryAfter, .message = "this attempt was not run: too few agents answered for its Idempotency-Key; send it again with the same key" };
+        response = { .outcome = Outcome::Unknown, .retryAfter = failureRetryAfter, .message = "this attempt was not run: too few agents answered for its Idempotency-Key; send it again with the same key" };
         m_reason = "key_no_majority";
     }
     co_await reply(response);
@@ -214,16 +214,29 @@
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(decision.retryAfter);
     return {
         .status = http::status::service_unavailable,
-        .outcome = Outcome::NotRun,
+        .outcome = notRunOutcome(),
         .retryAfter = std::max(seconds, std::chrono::seconds(1)),
-        .message = "the request was not run: " + std::string(reasonName(decision.reason)) + "; send it again after the time in Retry-After",
+        .message = notRunMessage(reasonName(decision.reason)),
     };
 }
 
+// An earlier attempt with the same Idempotency-Key may have run at another agent, or at this one before its restart.
+Outcome RequestTask::notRunOutcome() const
+{
+    return m_key ? Outcome::Unknown : Outcome::NotRun;
+}
+
+std::string RequestTask::notRunMessage(std::string_view reason) const
+{
+    if (m_key)
+        return "this attempt was not run: " + std::string(reason) + "; an earlier one with this Idempotency-Key may have run; if there was none, send it again with the same key after the time in Retry-After";
+    return "the request was not run: " + std::string(reason) + "; send it again after the time in Retry-After";
+}
+
 LocalResponse RequestTask::failureResponse() const
 {
     if (m_outcome == Outcome::NotRun)
-        return { .retryAfter = failureRetryAfter, .message = "the request was not run: no connection to the server; send it again after the time in Retry-After" };
+        return { .outcome = notRunOutcome(), .retryAfter = failureRetryAfter, .message = notRunMessage("no connection to the server") };
     LocalResponse response { .status = http::status::bad_gateway, .outcome = Outcome::Unknown };
     response.message = "the request may have run: " + m_reason + "; check its effect before sending it again";
     if (m_connection->abortReason() == AbortReason::Deadline)
--- a/src/requests/internal/requesttask.h
+++ b/src/requests/internal/requesttask.h
@@ -62,6 +62,9 @@
     boost::asio::awaitable<void> reply(const LocalResponse& response);
     LocalResponse rejection(const admission::AdmissionDecision& decision) const;
     LocalResponse failureResponse() const;
+    // What the caller is told about a request that this proxy has not run.
+    Outcome notRunOutcome() const;
+    std::string notRunMessage(std::string_view reason) const;
 
     RequestHeader makeServerHeader() const;
     ResponseHeader makeCallerHeader(bool& chunked) const;
@@ -97,11 +100,11 @@
     std::optional<KeyGuard> m_key;
     std::optional<AdmissionGuard> m_admissionGuard;
     std::shared_ptr<ServerConnection> m_connection;
+    // m_connection has carried another request before.
+    bool m_connectionReused = false;
     BodyState m_bodyState = BodyState::None;
     ReadResult m_bodyResult = ReadResult::Ok;
     Signal m_bodyStopped;
-    // m_connection has carried another request before.
-    bool m_connectionReused = false;
 };
 
 } // namespace clementinesill::requests
--- a/src/requests/tests/keyclaims.cpp
+++ b/src/requests/tests/keyclaims.cpp
@@ -123,7 +123,8 @@
     auto& caller = agent.harness.connect();
     caller.send(keyedRequest);
     CHECK(agent.harness.runUntilReceived(caller, "503"));
-    CHECK(caller.received.find("Clementinesill-Outcome: not-run") != std::string::npos);
+    // One of the voters that did not respond may have granted the key to another agent, which ran the request.
+    CHECK(caller.received.find("Clementinesill-Outcome: unknown") != std::string::npos);
     CHECK_EQUAL(0U, agent.harness.server->requests.size());
     // The single grant was released, so the request runs once all voters are reachable.
     transport.unreachable.clear();
--- a/src/requests/tests/requesttask.cpp
+++ b/src/requests/tests/requesttask.cpp
@@ -399,6 +399,56 @@
     CHECK_EQUAL(1U, harness.server->requests.size());
 }
 
+// Guards against a caller that is told "not run" after an earlier attempt with its key has run: at another agent, or at this one
+// before a restart. Each agent here has no record of the first attempt, and rejects the second one for another reason.
+TEST(RequestTask, NeverReportsKeyedRequestAsNotRun)
+{
+    ProxyHarness first(respondWith("HTTP/1.1 201 Created\r\nContent-Length: 4\r\n\r\nmade", 4));
+    auto& caller = first.connect();
+    caller.send(keyedRequest);
+    CHECK(first.runUntilReceived(caller, "made"));
+    const auto checkSecondAgent = [](ProxyHarness& agent, std::string_view status) {
+        auto& resent = agent.connect();
+        resent.send(keyedRequest);
+        CHECK_TEXT(agent.runUntilReceived(resent, status), status.data());
+        CHECK_TEXT(reportsUnknown(resent), status.data());
+        CHECK_FALSE_TEXT(reportsNotRun(resent), status.data());
+    };
+    int ended = 0;
+    {
+        ProxyHarness serverDown(neverRespond(ended));
+        serverDown.server->stop();
+        checkSecondAgent(serverDown, "503");
+    }
+    {
+        ProxyHarness busy(neverRespond(ended), { .queue = { .maximumLength = 0 } });
+        for (int index = 0; index < 5; ++index)
+            busy.connect().send(getRequest);
+        CHECK(busy.runUntil([&] { return busy.server->requests.size() == 5; }));
+        checkSecondAgent(busy, "503");
+    }
+    {
+        ProxyHarness keysUsed(respondWith(std::string(completeResponse), 4), { .keyStore = { .maxKeys = 1 } });
+        auto& other = keysUsed.connect();
+        other.send("POST /other HTTP/1.1\r\nHost: s\r\nIdempotency-Key: k2\r\nContent-Length: 4\r\n\r\nbody");
+        CHECK(keysUsed.runUntilReceived(other, "200 OK"));
+        checkSecondAgent(keysUsed, "503");
+    }
+}
+
+// Guards against a caller that renews its credentials between two attempts and is told that the first one has not run.
+TEST(RequestTask, KeyOfRequestThatRanIsNotReportedNotRunAfterFieldsChange)
+{
+    ProxyHarness harness(respondWith("HTTP/1.1 201 Created\r\nContent-Length: 4\r\n\r\nmade", 4));
+    for (const std::string token : { "old", "new" }) {
+        auto& caller = harness.connect();
+        caller.send("POST /order HTTP/1.1\r\nHost: s\r\nIdempotency-Key: k1\r\nAuthorization: Bearer " + token + "\r\nContent-Length: 4\r\n\r\nbody");
+        CHECK(harness.runUntilReceived(caller, token == "old" ? "made" : "422 Unprocessable Entity"));
+        CHECK_FALSE(reportsNotRun(caller));
+    }
+    CHECK_EQUAL(1U, harness.server->requests.size());
+}
+
 TEST(RequestTask, RunsKeyedRequestAtMostOnceUnderRandomRetriesAndFaults)
 {
     CHECK(rc::check("a request with an idempotency key runs at most once, and ran if its caller received a response", [] {
