Test that a handover leaves one active process

Operators reported that around a handover two processes were active and orders went out twice. New tests: a paused leader that wakes with an order in its log accepts, serves and applies nothing, and the order repeated at the next leader is applied once on all; a second pass-through agent of a server cannot start.

Result: the existing code passes. With the check of the lease left out, and with shared sockets, the tests fail.

--- a/src/control/tests/replicagroup.h
+++ b/src/control/tests/replicagroup.h
@@ -55,7 +55,7 @@
     void runOn(std::size_t index, Call call)
     {
         auto& replica = *replicas[index];
-        if (!replica.log)
+        if (!replica.log || paused.contains(index))
             return;
         try {
             call(*replica.log);
@@ -220,6 +220,8 @@
     // For replicas started from now on; 1 sends one entry per message.
     std::size_t maxBatchBytes = 1 << 20;
     std::set<std::pair<std::size_t, std::size_t>> partitions;
+    // Replicas that do not run; they keep their state and receive no messages.
+    std::set<std::size_t> paused;
     // Messages for which this returns true are dropped, if set.
     std::function<bool(const Message&)> shouldDrop;
 
--- a/src/control/tests/replicatedlog.cpp
+++ b/src/control/tests/replicatedlog.cpp
@@ -222,6 +222,30 @@
     CHECK(group.runUntil([&] { return group.replicas[deposed]->log->role() != ReplicaRole::Leader; }));
 }
 
+// Guards against an order that is carried out twice around a change of leader: the former leader is paused with the order in its
+// log, the order is repeated at the next leader, and the former one wakes and has not heard of the change yet.
+TEST(ReplicatedLog, PausedLeaderThatWakesAcceptsAndAppliesNothing)
+{
+    ReplicaGroup group(3);
+    CHECK(group.runUntilLeader());
+    const auto former = *group.leader();
+    CHECK(group.propose(former, "order").index != 0);
+    group.paused.insert(former);
+    CHECK(group.runUntil([&] { return group.leader() && *group.leader() != former; }));
+    const auto current = *group.leader();
+    const auto index = group.propose(current, "order").index;
+    CHECK(index != 0);
+    CHECK(group.runUntil([&] { return group.replicas[current]->log->commitIndex() >= index; }));
+    group.paused.clear();
+    CHECK_FALSE(group.replicas[former]->log->hasValidLease());
+    LONGS_EQUAL(0, group.propose(former, "order").index);
+    CHECK(group.runUntil([&] { return group.replicas[former]->machine.applied == group.replicas[current]->machine.applied; }));
+    for (const auto& replica : group.replicas) {
+        const auto& applied = replica->machine.applied;
+        LONGS_EQUAL(1, std::count_if(applied.begin(), applied.end(), [](const auto& entry) { return entry.ends_with(" order"); }));
+    }
+}
+
 // Guards against a slow start after all VMs lose power and return within a second: nothing is served until a leader is
 // elected.
 TEST(ReplicatedLog, FormerLeaderIsElectedAtOnceAfterFullRestart)
--- a/src/passthrough/tests/passthroughagent.cpp
+++ b/src/passthrough/tests/passthroughagent.cpp
@@ -256,3 +256,12 @@
     CHECK_THROWS(Error, heartbeats->onHeartbeat(heartbeat(2, true)));
     format.release();
 }
+
+// Guards against two agents that are active for one server at a handover: the second one cannot start before the first one has
+// ended, and the first one keeps serving.
+TEST(PassThroughAgent, SecondAgentOfServerCannotStart)
+{
+    CHECK_THROWS(Error, makeAgent(settings));
+    sendSyn(9);
+    CHECK(server.waitForPacket());
+}
