Test that a restart brings back nothing that had left

Operators reported that a server that had left, or a withdrawn key, was in use again after a restart.

It passes; with the replaced boot ids left out of the restore it fails.

--- a/src/control/tests/fleetstate.cpp
+++ b/src/control/tests/fleetstate.cpp
@@ -94,6 +94,33 @@
     LONGS_EQUAL(second.incarnation, state.server(second.serverId)->server().incarnation());
 }
 
+// Guards against a controller that is restored from a snapshot and uses a server again that has left or was replaced, or applies a
+// change again that was answered before.
+TEST(FleetState, RestoredStateKeepsRemovedServersAndAppliedRequests)
+{
+    const auto replaced = announceCommand("desk-1", 11, "127.0.0.1:21001");
+    state.apply(replaced);
+    state.apply(announceCommand("desk-1", 12, "127.0.0.1:21001"));
+    const auto left = state.apply(announceCommand("desk-2", 21, "127.0.0.1:21002"));
+    schema::Command leave;
+    leave.mutable_leave()->set_server_id(left.serverId);
+    leave.mutable_leave()->set_incarnation(left.incarnation);
+    state.apply(leave);
+    const auto change = configCommand("second", 1, { "desk" });
+    state.apply(change);
+    state.apply(configCommand("third", 2, { "desk", "gallery", "other" }));
+
+    FleetState restored;
+    restored.restore(state.snapshot());
+    LONGS_EQUAL(state.version(), restored.version());
+    LONGS_EQUAL(schema::Outcome::CODE_CONFLICT, restored.apply(replaced).code);
+    CHECK(restored.server(left.serverId)->removed());
+    LONGS_EQUAL(1, restored.table().servers_size());
+    LONGS_EQUAL(schema::Outcome::CODE_OK, restored.apply(change).code);
+    LONGS_EQUAL(3, restored.revision());
+    LONGS_EQUAL(3, restored.table().services_size());
+}
+
 TEST(FleetState, RepeatedAnnouncementHasNoEffect)
 {
     state.apply(announceCommand("desk-1", 11, "127.0.0.1:21001"));
