Recognize the packets of a response in any order

Cause: servers send the packets of a response in reverse order, the one with the FIN first. Change: a packet answers the current request if it ends after the position at which the response begins, which is recorded when the request arrives.

--- a/src/passthrough/internal/flowtracker.cpp
+++ b/src/passthrough/internal/flowtracker.cpp
@@ -113,21 +113,23 @@
         flow.initialCallerSequence = packet.acknowledgement;
         flow.nextCallerSequence = packet.acknowledgement;
         flow.nextServerSequence = packet.sequence;
+        flow.responseStartSequence = packet.sequence;
     }
     // A late packet of an earlier flow with the same ports may arrive before the SYN-ACK.
     if (!flow.synAckSeen || (packet.syn && !flow.established))
-        flow.initialServerSequence = flow.nextServerSequence = packet.sequence;
+        flow.initialServerSequence = flow.nextServerSequence = flow.responseStartSequence = packet.sequence;
     flow.synAckSeen = true;
     flow.lastPacketTime = now;
     const auto end = packet.sequence + packet.payloadBytes;
-    // A retransmitted packet of an earlier response is no response to the current request.
-    const bool hasNewData = packet.payloadBytes && sequenceDistance(flow.nextServerSequence, end) > 0;
+    // A retransmitted packet of an earlier response is no response to the current request. The packets of a response may arrive
+    // in any order, so they are compared with its start and not with the highest sequence number seen.
+    const bool answersRequest = packet.payloadBytes && sequenceDistance(flow.responseStartSequence, end) > 0;
     advance(flow.nextServerSequence, end);
     flow.serverFinSeen = flow.serverFinSeen || packet.fin;
     flow.reset = flow.reset || packet.rst;
-    if (hasNewData && flow.awaitsResponse && m_options.responseStarted)
+    if (answersRequest && flow.awaitsResponse && m_options.responseStarted)
         m_options.responseStarted(key, now - flow.requestTime);
-    if (hasNewData)
+    if (answersRequest)
         finishRequest(key, flow, RequestEnd::Responded);
     else if (flow.closed())
         finishRequest(key, flow, RequestEnd::NotResponded);
@@ -136,6 +138,7 @@
 void FlowTracker::beginRequest(const fleet::FlowKey& key, TrackedFlow& flow)
 {
     flow.requestSeen = true;
+    flow.responseStartSequence = flow.nextServerSequence;
     if (m_occupiedSlots < m_load.slots())
         occupySlot(flow);
     else
--- a/src/passthrough/tests/flowtracker.cpp
+++ b/src/passthrough/tests/flowtracker.cpp
@@ -61,6 +61,20 @@
     LONGS_EQUAL(0, load.outstanding());
 }
 
+// Guards against a response that is never counted because its last packet, with the FIN, arrives first: servers may send the
+// packets of a response in any order.
+TEST(FlowTracker, ReorderedResponseEndsRequest)
+{
+    openFlow();
+    flows.recordCallerPacket(callerPacket(5000, 300));
+    auto fin = serverPacket(7401, 0);
+    fin.fin = true;
+    flows.recordServerPacket(fin);
+    LONGS_EQUAL(1, load.outstanding());
+    flows.recordServerPacket(serverPacket(6201, 1200));
+    LONGS_EQUAL(0, load.outstanding());
+}
+
 // Guards against a response that is never counted because the first packet that the agent saw from the server was no SYN-ACK.
 TEST(FlowTracker, ResponseCountsWithoutSynAck)
 {
--- a/src/passthrough/types/trackedflow.h
+++ b/src/passthrough/types/trackedflow.h
@@ -29,6 +29,8 @@
     // Sequence number of the SYN-ACK.
     std::uint32_t initialServerSequence = 0;
     std::uint32_t nextServerSequence = 0;
+    // Highest sequence number of the server when the current request arrived; its response begins there.
+    std::uint32_t responseStartSequence = 0;
     // When the request that awaits a response arrived.
     MonotonicTime requestTime;
     MonotonicTime workStart;
