--- a/src/passthrough/tests/burstreplay.h
+++ b/src/passthrough/tests/burstreplay.h
@@ -38,7 +38,7 @@
 
     BurstReplay(double burst, double budgetBytesPerSecond)
         : m_burst(burst)
-        , m_admission({ .link = { .bytesPerSecond = budgetBytesPerSecond }, .forwardHeaderBytes = geneveBytes, .resetBytes = headerBytes }, m_clock, m_metrics)
+        , m_admission({ .link = { .bytesPerSecond = budgetBytesPerSecond, .datagramOverheadBytes = ipAndUdpHeaderBytes }, .forwardHeaderBytes = geneveBytes, .resetBytes = headerBytes }, m_clock, m_metrics)
     {
         for (std::size_t index = 0; index < classes.size(); ++index)
             schedule(Duration(index), [this, index] { arrive(index); });
@@ -68,6 +68,7 @@
 
 private:
     static constexpr std::size_t headerBytes = 32;
+    static constexpr std::size_t ipAndUdpHeaderBytes = 28;
     static constexpr std::size_t geneveBytes = 48;
     static constexpr std::size_t requestBytes = 1000;
     static constexpr int maximumAttempts = 3;
@@ -167,7 +168,7 @@
     Duration sendOnLink(std::size_t bytes, std::function<void()> reached)
     {
         const auto begin = std::max(m_linkFree, m_clock.now());
-        m_linkFree = begin + seconds(static_cast<double>(bytes) / linkBytesPerSecond);
+        m_linkFree = begin + seconds(static_cast<double>(bytes + ipAndUdpHeaderBytes) / linkBytesPerSecond);
         schedule(m_linkFree - m_clock.now(), std::move(reached));
         return begin - m_clock.now();
     }
