--- a/src/bench/bench_entry.cpp
+++ b/src/bench/bench_entry.cpp
@@ -100,7 +100,7 @@
     auto& passThrough = *settings.mutable_balancer()->mutable_pass_through();
     passThrough.set_packet_endpoint(format(loopback(options.port)));
     passThrough.set_peer_endpoint(format(loopback(options.port + 1)));
-    if (options.linkMbps)
+    if (options.linkMbps > 0)
         passThrough.mutable_overload()->set_link_mbps(options.linkMbps);
     return settings;
 }
