Soak: overload a service after the faults

The soak sent 24 requests/s to each service, so it never rejected for lack of capacity. After the faults, each seed now sends 4 times the capacity to its second service for 5 s, half of it orders, and checks that no order ran twice, that no order ran after "not-run", and that from 1 s after the end at least 0.98 of the requests at half the capacity are served. A run without served or rejected orders fails, since it would check nothing. Load records now contain the idempotency key, and the order's body has it too, so that the servers' lines identify each order. The second service's requests take 100 ms instead of 5.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Soak test: injects random faults into deployments of real processes and checks the guarantees that callers rely on.
+"""Soak test: random faults and an overload in deployments of real processes; checks the guarantees that callers rely on.
 
 Each seed runs its own deployment through a series of overlapping faults. Prints one line per seed; exits with 0 if all
 seeds passed. The folder of a failed seed is kept with all logs.
@@ -21,6 +21,7 @@
 import time
 
 import deployment
+import experiments
 import faultproxy
 
 # Seeds that once failed, with the cause; they always run.
@@ -30,6 +31,14 @@
 ZONE_OUT_BOUND_S = 3.0
 # Required bound: everything serves again within this time after the last fault, also after a restart of all processes.
 RECOVERY_BOUND_S = 12.0
+# Required bound: requests are served again this time after the end of an overload.
+OVERLOAD_RECOVERY_S = 1.0
+# Share of the requests at half the capacity that must be served from then on.
+RECOVERED_SHARE = 0.98
+OVERLOAD_FACTOR = 4
+OVERLOAD_S = 5
+# Servers of the service that is overloaded; long enough that its capacity is below what the load generator can send.
+OVERLOADED_WORK_MS = 100
 CLIENT_TIMEOUT_S = 6
 # For each kind of request and each service.
 REQUESTS_PER_SECOND = 12
@@ -151,7 +160,8 @@
         topology = self.random.choice([deployment.TAHANAN, deployment.RUSZTOWANIA])
         base = FIRST_BASE_PORT + slot * PORTS_PER_SEED
         services = tuple(deployment.ServiceSpec(s.name, s.virtual_address, f"127.0.{10 + slot}.{10 + n}", s.port, s.servers) for n, s in enumerate(topology.services))
-        self.system = SoakDeployment(build, self.folder, deployment.Topology(topology.name, topology.zones, services), base_port=base, seed=seed)
+        self.system = SoakDeployment(build, self.folder, deployment.Topology(topology.name, topology.zones, services), base_port=base, seed=seed,
+                                     server_options={f"{services[-1].name}-{n + 1}": {"work_ms": OVERLOADED_WORK_MS} for n in range(services[-1].servers)})
         self.clients = Clients(self.system)
         self.fault_count = faults
         self.zones = {}
@@ -252,6 +262,7 @@
             self._end_faults(time.monotonic())
         self._end_faults(None)
         self.check_recovery()
+        self.check_overload()
         self.check_zones()
         self.clients.stop()
         self.check_orders()
@@ -273,6 +284,31 @@
         for service in self.system.topology.services:
             self.system.retry(f"{service.name} responds", lambda service=service: self.system.check_first_response(service), timeout=RECOVERY_BOUND_S)
 
+    def _start_load(self, name, seconds, factor, order_share):
+        """Sends a multiple of its capacity to the overloaded service, and nothing to the others."""
+        service = self.system.topology.services[-1]
+        rates = {s.name: 0 for s in self.system.topology.services} | {service.name: factor * experiments.capacity(self.system, service)}
+        return experiments.LoadRun(self.system, seconds, rates, seed=self.random.randrange(1, 1 << 31), order_share=order_share, output=f"load-{name}.jsonl")
+
+    def check_overload(self):
+        """Under several times the capacity of a service no order runs twice or after a rejection; afterwards it serves in time."""
+        # The warm-up limits of servers that were restarted rise first.
+        self._start_load("warm-up", 6, 0.5, 0).records()
+        overload = self._start_load("overload", OVERLOAD_S, OVERLOAD_FACTOR, 0.5)
+        overload.sleep_until(OVERLOAD_S + OVERLOAD_RECOVERY_S)
+        recovery = experiments.sent_requests(self._start_load("recovery", 3, 0.5, 0).records())
+        records = overload.records()
+        not_run = {r["key"] for r in records if r["kind"] == "order" and r.get("outcome") == "not-run"}
+        ran = self._count_runs(r"^ran order (\S+)$")
+        self.clients.counts["overload_served"] = len(experiments.successful(records))
+        self.clients.counts["overload_not_run"] = len(not_run)
+        if not not_run or not ran:
+            raise deployment.DeploymentError(f"the overload had {len(not_run)} rejected and {len(ran)} served orders, so it checks nothing")
+        self._check_runs(ran, not_run)
+        served = len(experiments.successful(recovery)) / max(1, len(recovery))
+        if served < RECOVERED_SHARE:
+            raise deployment.DeploymentError(f"from {OVERLOAD_RECOVERY_S} s after the overload only {served:.3f} of {len(recovery)} requests were served")
+
     def check_zones(self):
         """An accepted zone command takes effect in time: no request enters a zone that is out."""
         zone = self.random.choice(self.system.topology.zones)
@@ -289,13 +325,20 @@
 
     def check_orders(self):
         """No order ran twice, and no order ran after its caller got a rejection."""
+        self._check_runs(self._count_runs(r"^ran (order-\d+)$"), self.clients.rejected_orders)
+
+    def _count_runs(self, pattern):
         ran = collections.Counter()
         for log in self.folder.glob("server-*.log"):
-            ran.update(re.findall(r"^ran (order-\d+)$", log.read_text(errors="replace"), re.MULTILINE))
+            ran.update(re.findall(pattern, log.read_text(errors="replace"), re.MULTILINE))
+        return ran
+
+    @staticmethod
+    def _check_runs(ran, rejected):
         twice = [order for order, count in ran.items() if count > 1]
         if twice:
             raise deployment.DeploymentError(f"{len(twice)} orders ran more than once: {twice[:3]}")
-        ran_despite_rejection = self.clients.rejected_orders & set(ran)
+        ran_despite_rejection = rejected & set(ran)
         if ran_despite_rejection:
             raise deployment.DeploymentError(f"{len(ran_despite_rejection)} orders ran although they were rejected: {sorted(ran_despite_rejection)[:3]}")
 
--- a/src/bench/loadmain.cpp
+++ b/src/bench/loadmain.cpp
@@ -109,8 +109,10 @@
             request.set(http::field::host, target.name);
             request.set(http::field::connection, "close");
             if (isOrder) {
-                request.set("Idempotency-Key", std::to_string(m_options.seed) + "-" + std::to_string(number));
-                request.body() = "order " + std::to_string(number);
+                const auto key = std::to_string(m_options.seed) + "-" + std::to_string(number);
+                request.set("Idempotency-Key", key);
+                request.body() = "order " + key;
+                record["key"] = key;
             }
             request.prepare_payload();
             co_await http::async_write(stream, request, asio::use_awaitable);
