--- a/src/passthrough/internal/flowtracker.cpp
+++ b/src/passthrough/internal/flowtracker.cpp
@@ -1,8 +1,11 @@
 #include "passthrough/flowtracker.h"
 
 #include "agent/internal/sequencewindow.h"
+#include "passthrough/serverfailures.h"
 #include "passthrough/types/flowpacket.h"
 
+#include <utility>
+
 namespace clementinesill::passthrough {
 
 namespace {
@@ -54,6 +57,8 @@
         .lastPacketTime = now,
     };
     m_load.requestStarted();
+    if (m_options.requestTimeout.count())
+        m_handshakes.emplace_back(now, packet.key);
 }
 
 bool FlowTracker::matches(const TrackedFlow& flow, const FlowPacket& packet) const
@@ -81,14 +86,19 @@
     flow.callerFinSeen = flow.callerFinSeen || packet.fin;
     flow.reset = flow.reset || packet.rst;
     const auto end = packet.sequence + packet.payloadBytes;
-    if (packet.payloadBytes && !flow.awaitsResponse && sequenceDistance(flow.nextCallerSequence, end) > 0) {
+    const bool newData = packet.payloadBytes && sequenceDistance(flow.nextCallerSequence, end) > 0;
+    if (newData && flow.awaitsResponse && !flow.requestSeen) {
+        m_load.workEstimate().recordHandshake(now - flow.requestTime);
+        beginRequest(packet.key, flow);
+    } else if (newData && !flow.awaitsResponse) {
         flow.awaitsResponse = true;
         flow.requestTime = now;
         m_load.requestStarted();
+        beginRequest(packet.key, flow);
     }
     advance(flow.nextCallerSequence, end);
     if (flow.closed() || flow.callerFinSeen)
-        finishRequest(flow, false);
+        finishRequest(packet.key, flow, flow.requestSeen ? RequestEnd::NotResponded : RequestEnd::Withdrawn);
 }
 
 void FlowTracker::recordServerPacket(const FlowPacket& packet)
@@ -99,30 +109,73 @@
     auto& flow = entry->second;
     if (added) {
         flow.established = !packet.syn;
+        flow.requestSeen = true;
         flow.initialCallerSequence = packet.acknowledgement;
         flow.nextCallerSequence = packet.acknowledgement;
         flow.nextServerSequence = packet.sequence;
+        flow.responseStartSequence = packet.sequence;
     }
-    if (packet.syn && !flow.synAckSeen)
-        flow.initialServerSequence = flow.nextServerSequence = packet.sequence;
+    // A late packet of an earlier flow with the same ports may arrive before the SYN-ACK.
+    if (!flow.synAckSeen || (packet.syn && !flow.established))
+        flow.initialServerSequence = flow.nextServerSequence = flow.responseStartSequence = packet.sequence;
     flow.synAckSeen = true;
     flow.lastPacketTime = now;
-    advance(flow.nextServerSequence, packet.sequence + packet.payloadBytes);
+    const auto end = packet.sequence + packet.payloadBytes;
+    // A retransmitted packet of an earlier response is no response to the current request. The packets of a response may arrive
+    // in any order, so they are compared with its start and not with the highest sequence number seen.
+    const bool answersRequest = packet.payloadBytes && sequenceDistance(flow.responseStartSequence, end) > 0;
+    advance(flow.nextServerSequence, end);
     flow.serverFinSeen = flow.serverFinSeen || packet.fin;
     flow.reset = flow.reset || packet.rst;
-    if (packet.payloadBytes && flow.awaitsResponse && m_options.responseStarted)
+    if (answersRequest && flow.awaitsResponse && m_options.responseStarted)
         m_options.responseStarted(key, now - flow.requestTime);
-    if (packet.payloadBytes)
-        finishRequest(flow, true);
+    if (answersRequest)
+        finishRequest(key, flow, RequestEnd::Responded);
     else if (flow.closed())
-        finishRequest(flow, false);
+        finishRequest(key, flow, RequestEnd::NotResponded);
+}
+
+void FlowTracker::beginRequest(const fleet::FlowKey& key, TrackedFlow& flow)
+{
+    flow.requestSeen = true;
+    flow.responseStartSequence = flow.nextServerSequence;
+    if (m_occupiedSlots < m_load.slots())
+        occupySlot(flow);
+    else
+        m_queuedRequests.push_back(key);
+}
+
+void FlowTracker::occupySlot(TrackedFlow& flow)
+{
+    flow.occupiesSlot = true;
+    flow.workStart = m_clock.now();
+    ++m_occupiedSlots;
 }
 
-void FlowTracker::finishRequest(TrackedFlow& flow, bool responded)
+void FlowTracker::releaseSlot(TrackedFlow& flow)
+{
+    if (!std::exchange(flow.occupiesSlot, false))
+        return;
+    --m_occupiedSlots;
+    while (!m_queuedRequests.empty() && m_occupiedSlots < m_load.slots()) {
+        const auto next = m_flows.find(m_queuedRequests.front());
+        m_queuedRequests.pop_front();
+        if (next != m_flows.end() && next->second.awaitsResponse && next->second.requestSeen && !next->second.occupiesSlot)
+            occupySlot(next->second);
+    }
+}
+
+void FlowTracker::finishRequest(const fleet::FlowKey& key, TrackedFlow& flow, RequestEnd end)
 {
     if (!flow.awaitsResponse)
         return;
     flow.awaitsResponse = false;
+    const bool responded = end == RequestEnd::Responded;
+    if (m_options.failures && end != RequestEnd::Withdrawn)
+        m_options.failures->record(responded);
+    if (responded && flow.occupiesSlot)
+        m_load.workEstimate().recordWork(key.service, m_clock.now() - flow.workStart);
+    releaseSlot(flow);
     if (responded)
         m_load.responseStarted(m_clock.now() - flow.requestTime);
     else
@@ -134,15 +187,17 @@
     const auto found = m_flows.find(key);
     if (found == m_flows.end())
         return;
-    finishRequest(found->second, false);
+    finishRequest(key, found->second, RequestEnd::Withdrawn);
     m_flows.erase(found);
 }
 
 void FlowTracker::clear()
 {
     for (auto& [key, flow] : m_flows)
-        finishRequest(flow, false);
+        finishRequest(key, flow, RequestEnd::Withdrawn);
     m_flows.clear();
+    m_queuedRequests.clear();
+    m_handshakes.clear();
 }
 
 bool FlowTracker::expired(const TrackedFlow& flow, MonotonicTime now) const
@@ -153,6 +208,18 @@
     return idle >= (flow.established ? m_options.idleTimeout : m_options.handshakeTimeout);
 }
 
+void FlowTracker::abandonStalledHandshakes()
+{
+    const auto oldest = m_clock.now() - m_options.requestTimeout;
+    while (!m_handshakes.empty() && m_handshakes.front().first <= oldest) {
+        const auto [openedAt, key] = m_handshakes.front();
+        m_handshakes.pop_front();
+        const auto found = m_flows.find(key);
+        if (found != m_flows.end() && !found->second.requestSeen && found->second.requestTime == openedAt)
+            finishRequest(key, found->second, RequestEnd::Withdrawn);
+    }
+}
+
 void FlowTracker::expire()
 {
     const auto now = m_clock.now();
@@ -161,7 +228,7 @@
             ++entry;
             continue;
         }
-        finishRequest(entry->second, false);
+        finishRequest(entry->first, entry->second, entry->second.requestSeen ? RequestEnd::NotResponded : RequestEnd::Withdrawn);
         entry = m_flows.erase(entry);
     }
 }
--- a/src/passthrough/internal/packetrelay.h
+++ b/src/passthrough/internal/packetrelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foundation/metrics.h"
+#include "passthrough/activebalancers.h"
 #include "passthrough/admissionmonitor.h"
 #include "passthrough/internal/packetrelayoptions.h"
 #include "passthrough/internal/packetsocket.h"
@@ -10,6 +11,9 @@
 #include "passthrough/unconfirmedsearches.h"
 
 #include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <optional>
 
 namespace clementinesill {
 class Histogram;
@@ -21,6 +25,8 @@
 
 namespace clementinesill::passthrough {
 
+struct ReleasedOpening;
+
 // Relays packets between daemons, the server on this agent's VM and callers, as decided by the router.
 class PacketRelay {
 public:
@@ -36,6 +42,10 @@
     // Sets the server identity that notifications to balancers and the visited lists of packets carry.
     void setServer(std::uint32_t serverId, std::uint32_t incarnation);
 
+    // Delivers, forwards or resets the SYNs that no longer wait. Called when the state of the server or the table has changed;
+    // packets and the end of a wait lead to it without a call.
+    void releaseWaiting();
+
 private:
     void onDaemonPacket(std::span<std::byte> datagram);
     void onServerPacket(std::span<std::byte> datagram);
@@ -44,6 +54,9 @@
     void deliverToServer(const FlowPacket& packet, std::span<std::byte> bytes, std::uint32_t mark);
     agent::TableView view(const fleet::FleetTable& table) const;
     void forwardToAgent(const RelayDecision& decision, Search search, std::span<const std::byte> bytes);
+    void scheduleNextExpiry();
+    void recordHoldTime(const ReleasedOpening& released, const fleet::FleetTable& table);
+    void reportLoad(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
     void notifyBalancer(const Search& search, const fleet::FlowKey& key);
     void recordDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
     RelayDecisionContext decisionContext(const FlowPacket& packet) const;
@@ -62,6 +75,13 @@
     // Indexed by RelayReason.
     std::array<Counter*, relayReasonCount> m_decisionCounters {};
     Histogram& m_callerWaitTime;
+    // Runs only while a SYN waits.
+    ActiveBalancers m_activeBalancers;
+    boost::asio::steady_timer m_waitTimer;
+    std::optional<MonotonicTime> m_timerExpiry;
+    // Indexed by the route's endpoint.
+    std::map<Endpoint, Histogram*> m_holdTimes;
+    Counter& m_loadNotices;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -20,6 +20,8 @@
 #include "passthrough/localserver.h"
 #include "passthrough/passthroughmodules.h"
 #include "passthrough/relayrouter.h"
+#include "passthrough/serverfailures.h"
+#include "passthrough/waitingopenings.h"
 #include "settings.pb.h"
 
 #include <algorithm>
@@ -44,12 +46,17 @@
 
 // Number of flows whose first miss is recorded.
 constexpr std::size_t missLogCapacity = 4096;
+// Covers the round trip of a handshake and 50 ms in the queue of the entry link in each direction; see FlowTrackerOptions.
+constexpr std::chrono::milliseconds requestTimeout { 150 };
 // How often expired flows are removed, and the table is checked if no packets arrive.
 constexpr std::chrono::milliseconds maintenanceInterval { 600 };
 // How often the table is checked while the server is registered but not yet in the table.
 constexpr std::chrono::milliseconds registrationPollInterval { 100 };
 // How long a gauge waits for the loop before it reports 0.
 constexpr std::chrono::milliseconds gaugeTimeout { 200 };
+// How long a heartbeat waits for the loop to apply it. The loop reads at most 64 packets in a row, so that it takes longer only if
+// the agent is stuck.
+constexpr std::chrono::seconds applyTimeout { 1 };
 // Heartbeat intervals within which a server that has become cold reports it.
 constexpr int coldReportIntervals = 2;
 
@@ -68,9 +75,9 @@
         , m_heartbeatInterval(std::chrono::milliseconds(m_settings.heartbeat_ms()))
         , m_server(m_clock, m_heartbeatInterval)
         , m_coldStartLimit(m_clock, { .factor = m_settings.cold_factor(), .extraFlows = m_settings.cold_extra_flows() })
-        , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .responseStarted = [this](const auto& flow, auto elapsed) { recordResponseTime(flow, elapsed); } })
-        , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .coldStartLimit = m_coldStartLimit, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()) })
-        , m_relay(m_loop, { .daemonEndpoint = parseEndpoint(m_settings.packet_endpoint()), .serverPacketEndpoint = parseEndpoint(m_settings.server_packets_endpoint()), .serverEndpoint = m_serverEndpoint, .format = format, .router = m_router, .flows = m_flows, .load = m_load, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .onTableChanged = [this](const auto& table) { onTableChanged(table); }, .requestConfirmation = [this] { m_registrar->requestRenewal(); }, .clock = m_clock })
+        , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .requestTimeout = waiting() ? requestTimeout : Duration::zero(), .failures = waiting() ? &m_failures : nullptr, .responseStarted = [this](const auto& flow, auto elapsed) { recordResponseTime(flow, elapsed); } })
+        , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .coldStartLimit = m_coldStartLimit, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .waiting = waiting(), .failures = waiting() ? &m_failures : nullptr })
+        , m_relay(m_loop, { .daemonEndpoint = parseEndpoint(m_settings.packet_endpoint()), .serverPacketEndpoint = parseEndpoint(m_settings.server_packets_endpoint()), .serverEndpoint = m_serverEndpoint, .format = format, .router = m_router, .flows = m_flows, .load = m_load, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .onTableChanged = [this](const auto& table) { onTableChanged(table); }, .requestConfirmation = [this] { m_registrar->requestRenewal(); }, .clock = m_clock, .waiting = waiting(), .sendLoadNotices = m_settings.overload().load_notices() })
     {
     }
 
@@ -103,20 +110,33 @@
 
     void onHeartbeat(const ServerHeartbeat& heartbeat) override
     {
-        asio::post(m_loop, [this, heartbeat] { handleHeartbeat(heartbeat); });
+        applyOnLoop([this, heartbeat] { handleHeartbeat(heartbeat); });
     }
 
     void onServerShutdown(const std::string& name) override
     {
-        asio::post(m_loop, [this, name] {
+        applyOnLoop([this, name] {
             if (!m_server.markShutDown(name))
                 return;
             log(LogLevel::Info, "server_left", { { .key = logkey::server, .value = name } });
+            m_relay.releaseWaiting();
             m_registrar->setServerGone();
         });
     }
 
 private:
+    // Runs the task on the loop and returns once it has run, because the calling code then acknowledges its effect. Throws Error
+    // (Unavailable) if the loop does not run it in time; it may run later.
+    void applyOnLoop(std::function<void()> task)
+    {
+        const auto applied = std::make_shared<std::packaged_task<void()>>(std::move(task));
+        auto result = applied->get_future();
+        asio::post(m_loop, [applied] { (*applied)(); });
+        if (result.wait_for(applyTimeout) != std::future_status::ready)
+            throw Error(ErrorKind::Unavailable, "the agent is busy and has not applied the server's report yet", "send it again");
+        result.get();
+    }
+
     // On a VM that is being removed, the agent is stopped after its server has ended. If the server did not report its
     // shutdown, deregisters it, because searches would visit this agent until the lease expires.
     void deregisterEndedServer()
@@ -140,6 +160,9 @@
         m_metrics.describe("opening_wait_seconds", "how long callers had waited when their flow was taken, by their copies of the opening packet");
         m_metrics.describe("relay_packets_total", "packets by what was decided about them");
         m_metrics.describe("answer_seconds", "time from a request to the first byte of its answer, by route");
+        m_metrics.describe("opening_hold_seconds", "how long opening packets waited at the agent, by route");
+        m_metrics.describe("load_notices_sent_total", "reports of busy or full servers sent to balancers");
+        m_metrics.addGauge("openings_held", {}, [this] { return readOnLoop([this] { return static_cast<double>(m_waiting.size()); }); });
         addTableMetrics(m_metrics, m_fleet.tables(), m_clock);
         m_metrics.addGauge("server_outstanding", {}, [this] { return readOnLoop([this] { return static_cast<double>(m_load.outstanding()); }); });
         m_metrics.addGauge("server_expected_wait_seconds", {}, [this] { return readOnLoop([this] { return std::chrono::duration<double>(m_load.expectedQueueingDelay()).count(); }); });
@@ -183,6 +206,7 @@
         if (result == HeartbeatResult::NewInstance)
             onNewInstance(heartbeat, isFirstHeartbeat);
         m_coldStartLimit.setColdFor(heartbeat.coldRemaining);
+        m_relay.releaseWaiting();
         if (result == HeartbeatResult::Unchanged)
             return;
         log(LogLevel::Info, result == HeartbeatResult::NewInstance ? "server_started" : "server_drain_changed", { { .key = logkey::server, .value = heartbeat.name }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "cold_ms", .value = std::to_string(heartbeat.coldRemaining.count()) } });
@@ -198,6 +222,7 @@
             return;
         if (!isFirstHeartbeat)
             m_flows.clear();
+        m_failures.clear();
         m_router.setServer(0, 0);
     }
 
@@ -239,6 +264,7 @@
             logSilenceChange();
             onTableChanged(*m_fleet.tables().table());
             m_flows.expire();
+            m_relay.releaseWaiting();
             timer.expires_after(m_registration.serverId && !m_fleet.tables().table()->server(m_registration.serverId) ? registrationPollInterval : maintenanceInterval);
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
@@ -268,8 +294,12 @@
         if (m_zoneOut != out)
             log(LogLevel::Info, out ? "zone_out" : "zone_returned", { { .key = logkey::zone, .value = m_zone }, { .key = logkey::version, .value = std::to_string(m_tableVersion) } });
         m_zoneOut = out;
+        m_relay.releaseWaiting();
     }
 
+    // Null if the settings let no SYN wait.
+    WaitingOpenings* waiting() { return m_settings.overload().waiting_openings() ? &m_waiting : nullptr; }
+
     const std::string m_zone;
     const std::string m_service;
     const Endpoint m_endpoint;
@@ -285,8 +315,10 @@
     ServerLoad m_load;
     LocalServer m_server;
     ColdStartLimit m_coldStartLimit;
+    ServerFailures m_failures { m_clock };
     FlowTracker m_flows;
     agent::MissLog m_misses { missLogCapacity };
+    WaitingOpenings m_waiting { { .maximumLength = m_settings.overload().waiting_openings() }, m_clock };
     RelayRouter m_router;
     PacketRelay m_relay;
     fleet::Registration m_registration;
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -1,3 +1,5 @@
+#include "admin.pb.h"
+#include "admin/iadminsource.h"
 #include "dataplane/genevecodec.h"
 #include "dataplane/internal/flowcache.h"
 #include "dataplane/types/genevemessage.h"
@@ -9,18 +11,25 @@
 #include "foundation/metrics.h"
 #include "foundation/systemclock.h"
 #include "net/ilistener.h"
+#include "passthrough/entryorder.h"
 #include "passthrough/entryrouter.h"
 #include "passthrough/internal/decisionlog.h"
 #include "passthrough/internal/packetsocket.h"
 #include "passthrough/internal/tablemetrics.h"
 #include "passthrough/ipacketformat.h"
+#include "passthrough/linkadmission.h"
 #include "passthrough/passthroughmodules.h"
+#include "passthrough/placementexplanation.h"
+#include "passthrough/serverloadview.h"
+#include "passthrough/types/entrypacket.h"
 #include "settings.pb.h"
 
 #include <array>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <limits>
+#include <mutex>
 #include <thread>
 
 namespace clementinesill::passthrough {
@@ -34,16 +43,40 @@
 // flight.
 constexpr std::chrono::milliseconds drainDelay { 2200 };
 
-class PassThroughBalancer final : public IRoleModule {
+LinkAdmissionOptions linkAdmissionOptions(const schema::PassThroughSettings& settings, const IPacketFormat& format)
+{
+    constexpr double bytesPerMegabit = 1e6 / 8;
+    std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
+    dataplane::GeneveMessage message;
+    message.route.emplace();
+    return {
+        .link = { .bytesPerSecond = settings.overload().link_mbps() * bytesPerMegabit, .datagramOverheadBytes = settings.overload().link_overhead_bytes() },
+        .forwardHeaderBytes = dataplane::encodeGeneveHeader(message, header),
+        .resetBytes = format.makeReset({}).size(),
+    };
+}
+
+// The lowest priority for an address without a route.
+std::uint32_t priorityOf(const FlowPacket& packet, const fleet::FleetTable& table)
+{
+    const auto* route = table.route(packet.key.service);
+    return route ? route->priority : std::numeric_limits<std::uint32_t>::max();
+}
+
+class PassThroughBalancer final : public IRoleModule, private admin::IAdminSource {
 public:
     PassThroughBalancer(const schema::DaemonSettings& settings, fleet::IFleetClient& fleet, const IPacketFormat& format, const ReadyListenerFactory& makeReadyListener, MetricsRegistry& metrics)
         : m_settings(settings.balancer().pass_through())
+        , m_zone(settings.zone())
         , m_fleet(fleet)
         , m_format(format)
         , m_makeReadyListener(makeReadyListener)
         , m_metrics(metrics)
         , m_cache(settings.balancer().flow_cache_entries() ? settings.balancer().flow_cache_entries() : defaultCacheEntries)
-        , m_router(m_cache, settings.zone())
+        , m_usesLoadNotices(m_settings.overload().load_notices())
+        , m_router(m_cache, m_zone, m_usesLoadNotices ? &m_loadView : nullptr)
+        , m_noticeCounter(metrics.counter("load_notices_total"))
+        , m_linkAdmission(linkAdmissionOptions(m_settings, format), m_clock, metrics)
         , m_peerEndpoint(parseEndpoint(m_settings.peer_endpoint()))
         , m_callerPort(parseEndpoint(m_settings.packet_endpoint()).port)
         , m_callerSocket(m_loop, parseEndpoint(m_settings.packet_endpoint()))
@@ -53,13 +86,18 @@
         addTableMetrics(metrics, fleet.tables(), m_clock);
         for (std::size_t reason = 0; reason < m_decisionCounters.size(); ++reason)
             m_decisionCounters[reason] = &metrics.counter("entry_packets_total", { { "reason", std::string(name(static_cast<EntryReason>(reason))) } });
+        if (m_usesLoadNotices)
+            addLoadMetrics();
     }
 
     ~PassThroughBalancer() override { stop(); }
 
     void start() override
     {
-        asio::co_spawn(m_loop, m_callerSocket.run([this](auto datagram) { onCallerPacket(datagram); }), asio::detached);
+        if (m_settings.has_overload())
+            asio::co_spawn(m_loop, m_callerSocket.runBatches([this](auto datagrams) { onCallerPackets(datagrams); }), asio::detached);
+        else
+            asio::co_spawn(m_loop, m_callerSocket.run([this](auto datagram) { onCallerPackets({ &datagram, 1 }); }), asio::detached);
         asio::co_spawn(m_loop, m_peerSocket.run([this](auto datagram) { onAgentPacket(datagram); }), asio::detached);
         m_thread = std::thread([this] { m_loop.run(); });
         m_readyListener = m_makeReadyListener(m_settings.ready_endpoint(), [this] { return !m_shuttingDown && m_fleet.tables().table()->documentVersion(); });
@@ -77,22 +115,70 @@
         m_thread.join();
     }
 
+    const admin::IAdminSource* adminSource() const override { return this; }
+
 private:
-    void onCallerPacket(std::span<const std::byte> bytes)
+    void report(schema::DaemonReport& report) const override { report.set_version(m_fleet.tables().table()->version()); }
+
+    schema::FlowList flows(const schema::FlowQuery&) const override { return {}; }
+
+    schema::DecisionList explain(const schema::ExplainQuery&) const override { return {}; }
+
+    void explainPlacement(const schema::PlacementQuery& query, schema::PlacementList& list) const override
     {
-        const auto packet = m_format.decode(bytes);
-        if (!packet) {
-            ++m_metrics.counter("entry_malformed_total");
-            return;
+        const auto table = m_fleet.tables().table();
+        const std::lock_guard lock(m_routerMutex);
+        list.MergeFrom(passthrough::explainPlacement(parseEndpoint(query.address()), *table, m_zone, m_usesLoadNotices ? &m_loadView : nullptr));
+    }
+
+    void addLoadMetrics()
+    {
+        m_metrics.describe("load_notices_total", "load notices received from agents");
+        m_metrics.describe("entry_servers_seen", "servers whose load the balancer currently knows, by load");
+        static constexpr std::array<std::pair<const char*, std::size_t LoadViewCounts::*>, 3> counts { { { "busy", &LoadViewCounts::busy }, { "unanswered", &LoadViewCounts::unanswered }, { "full", &LoadViewCounts::full } } };
+        for (const auto& [load, count] : counts) {
+            m_metrics.addGauge("entry_servers_seen", { { "load", load } }, [this, count = count] {
+                const std::lock_guard lock(m_routerMutex);
+                return static_cast<double>(m_loadView.counts().*count);
+            });
         }
+    }
+
+    EntryDecision decide(const FlowPacket& packet, const fleet::FleetTable& table)
+    {
+        const std::lock_guard lock(m_routerMutex);
+        return m_router.decide(packet, table);
+    }
+
+    // Handles the packets read in one wake-up, those of open flows first.
+    void onCallerPackets(std::span<const std::span<std::byte>> datagrams)
+    {
         const auto table = m_fleet.tables().table();
-        const auto decision = m_router.decide(*packet, *table);
+        m_batch.clear();
+        for (const auto& bytes : datagrams) {
+            const auto packet = m_format.decode(bytes);
+            m_linkAdmission.recordReceived(packet && !packet->opensFlow(), bytes.size());
+            if (packet)
+                m_batch.push_back({ .packet = *packet, .bytes = bytes, .priority = priorityOf(*packet, *table) });
+            else
+                ++m_metrics.counter("entry_malformed_total");
+        }
+        const auto handled = orderEntryPackets(m_batch);
+        for (std::size_t index = 0; index < m_batch.size(); ++index) {
+            const auto& entry = m_batch[index];
+            const auto decision = index < handled ? m_linkAdmission.admit(decide(entry.packet, *table), entry) : m_linkAdmission.reject(EntryReason::BatchFull, entry);
+            apply(decision, entry, *table);
+        }
+    }
+
+    void apply(const EntryDecision& decision, const EntryPacket& entry, const fleet::FleetTable& table)
+    {
         ++*m_decisionCounters.at(static_cast<std::size_t>(decision.reason));
-        logDecision(decision, *packet, table->version());
+        logDecision(decision, entry.packet, table.version());
         if (decision.action == EntryAction::Forward)
-            forward(decision, *table, bytes);
+            forward(decision, table, entry.bytes);
         else if (decision.action == EntryAction::Reset)
-            m_callerSocket.send(m_format.makeReset(*packet), { .address = packet->key.caller.address, .port = m_callerPort });
+            m_callerSocket.send(m_format.makeReset(entry.packet), { .address = entry.packet.key.caller.address, .port = m_callerPort });
     }
 
     void forward(const EntryDecision& decision, const fleet::FleetTable& table, std::span<const std::byte> bytes)
@@ -113,22 +199,42 @@
 
     void onAgentPacket(std::span<const std::byte> datagram)
     {
+        m_linkAdmission.recordReceived(false, datagram.size());
         dataplane::GeneveMessage message;
-        if (dataplane::decodeGeneve(datagram, message) != dataplane::PacketError::None || !message.holder) {
+        const bool decoded = dataplane::decodeGeneve(datagram, message) == dataplane::PacketError::None;
+        const bool hasNotice = decoded && m_usesLoadNotices && message.control && message.loadNotice;
+        if (!decoded || (!message.holder && !hasNotice)) {
             ++m_metrics.counter("entry_malformed_total");
             return;
         }
-        m_router.learn(*message.holder, *m_fleet.tables().table());
+        const auto table = m_fleet.tables().table();
+        if (hasNotice) {
+            ++m_noticeCounter;
+            logNotice(*message.loadNotice, message.serviceId);
+        }
+        const std::lock_guard lock(m_routerMutex);
+        if (hasNotice)
+            m_loadView.apply(*message.loadNotice, *table);
+        if (message.holder)
+            m_router.learn(*message.holder, *table);
     }
 
     const schema::PassThroughSettings m_settings;
+    const std::string m_zone;
     fleet::IFleetClient& m_fleet;
     SystemClock m_clock;
     const IPacketFormat& m_format;
     ReadyListenerFactory m_makeReadyListener;
     MetricsRegistry& m_metrics;
     dataplane::FlowCache m_cache;
+    const bool m_usesLoadNotices;
+    ServerLoadView m_loadView { m_clock };
     EntryRouter m_router;
+    // Guards the router and the view, which metrics and admin pages read on other threads.
+    mutable std::mutex m_routerMutex;
+    Counter& m_noticeCounter;
+    LinkAdmission m_linkAdmission;
+    std::vector<EntryPacket> m_batch;
     const Endpoint m_peerEndpoint;
     const std::uint16_t m_callerPort;
     asio::io_context m_loop { 1 };
--- a/src/passthrough/types/entrydecision.h
+++ b/src/passthrough/types/entrydecision.h
@@ -25,11 +25,19 @@
     CacheHit,
     // The flow is not in the cache: the first server in the zone's ranking.
     FirstInRank,
+    // The entry link has no room for the packet's class.
+    NoLinkBudget,
+    // More openings arrived in one wake-up than are handled.
+    BatchFull,
     NoTable,
     NoRoute,
     NoServer,
+    // New flow: the first accepting server in the order of load, zone and rank; see EntryRouter.
+    LeastLoaded,
+    // Every accepting server is full for the route's priority.
+    ServiceFull,
 };
-constexpr std::size_t entryReasonCount = 7;
+constexpr std::size_t entryReasonCount = 11;
 
 std::string_view name(EntryReason reason);
 
--- a/src/requests/tests/requesttask.cpp
+++ b/src/requests/tests/requesttask.cpp
@@ -184,7 +184,7 @@
         const auto received = co_await FakeServer::readRequest(socket, server);
         if (!received)
             co_return;
-        const auto response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n#" + std::to_string(server.requests.size());
+        const auto response = "HTTP/1.1 200 OK\r\n" + FakeServer::echoField(server.requests.back()) + "Content-Length: 2\r\n\r\n#" + std::to_string(server.requests.size());
         co_await FakeServer::write(socket, response + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
         char byte = 0;
         co_await FakeServer::readByte(socket, byte);
@@ -197,6 +197,57 @@
     CHECK_FALSE(contains(caller.received, "extra"));
 }
 
+// Guards against a second copy of a response that arrives late, on a connection that carries the next request, and is taken for
+// that request's response. A server that names exchanges has its connections reused, one that does not gets a new one each time.
+TEST(RequestTask, LateCopyOfResponseDoesNotReachNextRequest)
+{
+    for (const bool echoes : { false, true }) {
+        ProxyHarness harness([echoes](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+            std::string previous;
+            while (true) {
+                const auto received = co_await FakeServer::readRequest(socket, server);
+                if (!received)
+                    co_return;
+                const auto request = server.requests.back();
+                const auto target = request.substr(4, 2);
+                const auto response = "HTTP/1.1 200 OK\r\n" + (echoes ? FakeServer::echoField(request) : "") + "Content-Length: 2\r\n\r\n" + target;
+                co_await FakeServer::write(socket, previous + response);
+                previous = response;
+            }
+        });
+        auto& first = harness.connect();
+        first.send("GET /1 HTTP/1.1\r\nHost: s\r\n\r\n");
+        CHECK(harness.runUntilReceived(first, "\r\n\r\n/1"));
+        auto& second = harness.connect();
+        second.send("GET /2 HTTP/1.1\r\nHost: s\r\n\r\n");
+        CHECK(harness.runUntilReceived(second, "\r\n\r\n/"));
+        CHECK_FALSE(contains(second.received, "\r\n\r\n/1"));
+        CHECK(contains(second.received, "\r\n\r\n/2"));
+    }
+}
+
+// Guards against a server that names its exchange in the first response only: the connection is in use again, and a response
+// without the name may be a late copy.
+TEST(RequestTask, ReusedConnectionNeedsNamedExchange)
+{
+    ProxyHarness harness([](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+        for (int count = 0;; ++count) {
+            const auto received = co_await FakeServer::readRequest(socket, server);
+            if (!received)
+                co_return;
+            const auto body = count ? "late" : "own!";
+            const auto response = "HTTP/1.1 200 OK\r\n" + (count ? std::string() : FakeServer::echoField(server.requests.back())) + "Content-Length: 4\r\n\r\n" + body;
+            co_await FakeServer::write(socket, response);
+        }
+    });
+    for (int count = 0; count < 2; ++count) {
+        auto& caller = harness.connect();
+        caller.send("GET /1 HTTP/1.1\r\nHost: s\r\n\r\n");
+        CHECK(harness.runUntilReceived(caller, "\r\n\r\nown!"));
+        CHECK_FALSE(contains(caller.received, "late"));
+    }
+}
+
 TEST(RequestTask, RetriesOnlyIdempotentRequests)
 {
     constexpr std::string_view postWithoutBody = "POST /order HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n";
@@ -285,6 +336,55 @@
     }
 }
 
+// Guards against an order that waits behind reads, and against a read with little time left that waits behind one with more.
+TEST(RequestTask, AdmitsOrdersThenEarliestDeadlineFirst)
+{
+    std::vector<std::unique_ptr<Signal>> running;
+    ProxyHarness harness([&](FakeServer::Socket& socket, FakeServer& server) -> boost::asio::awaitable<void> {
+            co_await FakeServer::readRequest(socket, server);
+            running.push_back(std::make_unique<Signal>(socket.get_executor()));
+            auto& signal = *running.back();
+            co_await signal.wait();
+            co_await FakeServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"); },
+        { .queue = { .interval = std::chrono::seconds(10) } });
+    for (int index = 0; index < 5; ++index)
+        harness.connect().send(getRequest);
+    CHECK(harness.runUntil([&] { return running.size() == 5; }));
+    harness.connect().send("GET /patient HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
+    harness.connect().send("GET /urgent HTTP/1.1\r\nHost: s\r\nRequest-Timeout-Ms: 20000\r\nConnection: close\r\n\r\n");
+    harness.connect().send("POST /order HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    harness.context.poll();
+    const std::vector<std::string_view> expected { "POST /order", "GET /urgent", "GET /patient" };
+    for (std::size_t index = 0; index < expected.size(); ++index) {
+        running[index]->notify();
+        CHECK(harness.runUntil([&] { return running.size() == 6 + index; }));
+        CHECK(harness.server->requests.back().starts_with(expected[index]));
+    }
+    for (const auto& signal : running)
+        signal->notify();
+    CHECK(harness.runUntilServed());
+}
+
+// Guards against a displaced request that is answered only after its maximum wait, or not at all.
+TEST(RequestTask, RejectsDisplacedReadImmediately)
+{
+    int ended = 0;
+    ProxyHarness harness(neverRespond(ended), { .queue = { .maximumLength = 1, .interval = std::chrono::minutes(1) } });
+    for (int index = 0; index < 5; ++index)
+        harness.connect().send(getRequest);
+    CHECK(harness.runUntil([&] { return harness.server->requests.size() == 5; }));
+    auto& read = harness.connect();
+    read.send(getRequest);
+    harness.context.poll();
+    auto& order = harness.connect();
+    order.send(postRequest);
+    CHECK(harness.runUntilReceived(read, "queue_too_long"));
+    CHECK(reportsNotRun(read));
+    CHECK(contains(read.received, "Retry-After: "));
+    CHECK(order.received.empty());
+    CHECK_EQUAL(5U, harness.server->requests.size());
+}
+
 TEST(RequestTask, RejectsRequestsOverLimits)
 {
     const std::vector<std::pair<std::string, std::string>> cases {
@@ -348,6 +448,56 @@
     CHECK_EQUAL(1U, harness.server->requests.size());
 }
 
+// Guards against a caller that is told "not run" after an earlier attempt with its key has run: at another agent, or at this one
+// before a restart. Each agent here has no record of the first attempt, and rejects the second one for another reason.
+TEST(RequestTask, NeverReportsKeyedRequestAsNotRun)
+{
+    ProxyHarness first(respondWith("HTTP/1.1 201 Created\r\nContent-Length: 4\r\n\r\nmade", 4));
+    auto& caller = first.connect();
+    caller.send(keyedRequest);
+    CHECK(first.runUntilReceived(caller, "made"));
+    const auto checkSecondAgent = [](ProxyHarness& agent, std::string_view status) {
+        auto& resent = agent.connect();
+        resent.send(keyedRequest);
+        CHECK_TEXT(agent.runUntilReceived(resent, status), status.data());
+        CHECK_TEXT(reportsUnknown(resent), status.data());
+        CHECK_FALSE_TEXT(reportsNotRun(resent), status.data());
+    };
+    int ended = 0;
+    {
+        ProxyHarness serverDown(neverRespond(ended));
+        serverDown.server->stop();
+        checkSecondAgent(serverDown, "503");
+    }
+    {
+        ProxyHarness busy(neverRespond(ended), { .queue = { .maximumLength = 0 } });
+        for (int index = 0; index < 5; ++index)
+            busy.connect().send(getRequest);
+        CHECK(busy.runUntil([&] { return busy.server->requests.size() == 5; }));
+        checkSecondAgent(busy, "503");
+    }
+    {
+        ProxyHarness keysUsed(respondWith(std::string(completeResponse), 4), { .keyStore = { .maxKeys = 1 } });
+        auto& other = keysUsed.connect();
+        other.send("POST /other HTTP/1.1\r\nHost: s\r\nIdempotency-Key: k2\r\nContent-Length: 4\r\n\r\nbody");
+        CHECK(keysUsed.runUntilReceived(other, "200 OK"));
+        checkSecondAgent(keysUsed, "503");
+    }
+}
+
+// Guards against a caller that renews its credentials between two attempts and is told that the first one has not run.
+TEST(RequestTask, KeyOfRequestThatRanIsNotReportedNotRunAfterFieldsChange)
+{
+    ProxyHarness harness(respondWith("HTTP/1.1 201 Created\r\nContent-Length: 4\r\n\r\nmade", 4));
+    for (const std::string token : { "old", "new" }) {
+        auto& caller = harness.connect();
+        caller.send("POST /order HTTP/1.1\r\nHost: s\r\nIdempotency-Key: k1\r\nAuthorization: Bearer " + token + "\r\nContent-Length: 4\r\n\r\nbody");
+        CHECK(harness.runUntilReceived(caller, token == "old" ? "made" : "422 Unprocessable Entity"));
+        CHECK_FALSE(reportsNotRun(caller));
+    }
+    CHECK_EQUAL(1U, harness.server->requests.size());
+}
+
 TEST(RequestTask, RunsKeyedRequestAtMostOnceUnderRandomRetriesAndFaults)
 {
     CHECK(rc::check("a request with an idempotency key runs at most once, and ran if its caller received a response", [] {
