Mend what the review of the overload parts found

- A SYN that the link had no room for counted as forwarded, so that the caller's retransmission marked a server as unanswered although nothing was sent there: the balancer withdraws the placement (EntryPlacement.WithdrawnPlacementLeavesNoTrace).
- Resets without budget were dropped, so callers retransmitted twice instead: resets are never refused.
- Callers that give up counted as failures of the server; in a burst every server could appear to fail (FlowTracker.CallerThatClosesEarlyIsNoServerFailure).
- Flows without a request kept their places until the next SYN arrived, although SYNs waited.
- A slot stayed idle in the request proxy while an expired request waited beside it (QueuedAdmissionOrder.FreeSlotIsUsedAlthoughExpiredRequestWaits).
- The soak's orders carried an Idempotency-Key, with which a rejection is reported as unknown, so its check of not-run orders checked nothing: the load generator sends them without keys.

The new tests were not run on the code before.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -288,7 +288,8 @@
         """Sends a multiple of its capacity to the overloaded service, and nothing to the others."""
         service = self.system.topology.services[-1]
         rates = {s.name: 0 for s in self.system.topology.services} | {service.name: factor * experiments.capacity(self.system, service)}
-        return experiments.LoadRun(self.system, seconds, rates, seed=self.random.randrange(1, 1 << 31), order_share=order_share, output=f"load-{name}.jsonl")
+        return experiments.LoadRun(self.system, seconds, rates, seed=self.random.randrange(1, 1 << 31), order_share=order_share,
+                                   output=f"load-{name}.jsonl", send_keys=False)
 
     def check_overload(self):
         """Under several times the capacity of a service no order runs twice or after a rejection; afterwards it serves in time."""
--- a/src/admission/internal/queuedadmission.cpp
+++ b/src/admission/internal/queuedadmission.cpp
@@ -26,8 +26,9 @@
 QueueingDecision QueuedAdmission::submit(QueueTraits traits)
 {
     AdmissionDecision decision { .reason = AdmissionReason::SlotLimit };
-    // Queued requests are admitted before new ones.
-    if (m_queue.empty()) {
+    // Queued requests are admitted before new ones. finish() admits them to every free slot, so those that still wait beside one
+    // have expired.
+    if (m_queue.empty() || hasFreeSlot()) {
         decision = m_admission.admitRequest();
         const auto temporary = decision.reason == AdmissionReason::SlotLimit || decision.reason == AdmissionReason::WarmupLimit;
         if (!temporary)
--- a/src/admission/tests/queuedadmissionorder.cpp
+++ b/src/admission/tests/queuedadmissionorder.cpp
@@ -91,6 +91,17 @@
     CHECK_EQUAL(0U, admission.load().requests);
 }
 
+// Guards against a slot that stays idle while requests arrive, because an expired one still waits beside it.
+TEST(QueuedAdmissionOrder, FreeSlotIsUsedAlthoughExpiredRequestWaits)
+{
+    submit(1);
+    const auto late = wait(1);
+    clock.advance(late.maximumWait + 1ms);
+    CHECK(queued.finish({}).empty());
+    CHECK(queued.submit({ .priority = 1, .latestStart = clock.now() + 1s }).decision.admitted());
+    CHECK_EQUAL(1U, admission.load().requests);
+}
+
 // Guards against a request that is admitted by finish after its maximum wait and again by dequeue.
 TEST(QueuedAdmissionOrder, AdmitsExpiredRequestOnlyThroughDequeue)
 {
--- a/src/passthrough/entryrouter.h
+++ b/src/passthrough/entryrouter.h
@@ -31,6 +31,9 @@
 
     EntryDecision decide(const FlowPacket& packet, const fleet::FleetTable& table);
 
+    // Takes back the placement of a SYN that was not forwarded; reset says whether the caller was told so.
+    void withdraw(const FlowPacket& packet, const fleet::FleetTable& table, bool reset);
+
     // Caches the server that holds a flow, as reported by an agent.
     void learn(const dataplane::FlowHolder& holder, const fleet::FleetTable& table);
 
--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -95,6 +95,15 @@
     return decision;
 }
 
+void EntryRouter::withdraw(const FlowPacket& packet, const fleet::FleetTable& table, bool reset)
+{
+    const auto flowHash = fleet::hash(packet.key, table.hashSeed());
+    // Otherwise the caller's retransmission would mark a server as unanswered to which nothing was sent.
+    m_cache.erase(flowHash);
+    if (reset)
+        m_rejections.record(flowHash);
+}
+
 // A retransmitted SYN goes to the next server in the order, since the one before did not respond in time.
 EntryDecision EntryRouter::placeByRank(const fleet::ServiceEntry& service, std::uint64_t flowHash, std::uint32_t retransmissions) const
 {
--- a/src/passthrough/internal/flowtracker.cpp
+++ b/src/passthrough/internal/flowtracker.cpp
@@ -98,7 +98,7 @@
     }
     advance(flow.nextCallerSequence, end);
     if (flow.closed() || flow.callerFinSeen)
-        finishRequest(packet.key, flow, flow.requestSeen ? RequestEnd::NotResponded : RequestEnd::Withdrawn);
+        finishRequest(packet.key, flow, RequestEnd::Withdrawn);
 }
 
 void FlowTracker::recordServerPacket(const FlowPacket& packet)
--- a/src/passthrough/internal/linkadmission.cpp
+++ b/src/passthrough/internal/linkadmission.cpp
@@ -51,8 +51,10 @@
 
 EntryDecision LinkAdmission::reject(EntryReason reason, const EntryPacket& entry)
 {
-    const bool reset = !entry.packet.synRetransmissions() && count(EntryClass::Reset, m_options.resetBytes, m_budget.take(EntryClass::Reset, m_options.resetBytes));
-    return { .action = reset ? EntryAction::Reset : EntryAction::Drop, .reason = reason };
+    if (entry.packet.synRetransmissions())
+        return { .action = EntryAction::Drop, .reason = reason };
+    count(EntryClass::Reset, m_options.resetBytes, m_budget.take(EntryClass::Reset, m_options.resetBytes));
+    return { .action = EntryAction::Reset, .reason = reason };
 }
 
 bool LinkAdmission::count(EntryClass entryClass, std::size_t datagramBytes, bool taken)
--- a/src/passthrough/internal/linkbudget.cpp
+++ b/src/passthrough/internal/linkbudget.cpp
@@ -15,9 +15,7 @@
 // the 200 ms after which ends retransmit.
 constexpr std::chrono::duration<double> bucketTime { 0.15 };
 
-// Shares of the bucket that a class leaves for those before it. Resets leave none: each one saves the caller's two
-// retransmissions.
-constexpr double resetReserve = -1;
+// Shares of the bucket that a class leaves for those before it.
 constexpr double retransmittedOpeningReserve = 0.85;
 // By priority of the route; the last one also applies to all lower priorities.
 constexpr std::array openingReserves { 0.1, 0.25, 0.5, 0.6 };
@@ -66,8 +64,8 @@
         recordOpenFlowBytes(cost);
         return true;
     }
-    const auto reserve = entryClass == EntryClass::Reset ? resetReserve : retransmittedOpeningReserve;
-    if (m_tokens - cost < reserve * m_capacity)
+    // A reset is never refused, since each one saves the caller's two retransmissions.
+    if (entryClass != EntryClass::Reset && m_tokens - cost < retransmittedOpeningReserve * m_capacity)
         return false;
     spend(cost);
     return true;
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -144,12 +144,6 @@
         }
     }
 
-    EntryDecision decide(const FlowPacket& packet, const fleet::FleetTable& table)
-    {
-        const std::lock_guard lock(m_routerMutex);
-        return m_router.decide(packet, table);
-    }
-
     // Handles the packets read in one wake-up, those of open flows first.
     void onCallerPackets(std::span<const std::span<std::byte>> datagrams)
     {
@@ -166,11 +160,22 @@
         const auto handled = orderEntryPackets(m_batch);
         for (std::size_t index = 0; index < m_batch.size(); ++index) {
             const auto& entry = m_batch[index];
-            const auto decision = index < handled ? m_linkAdmission.admit(decide(entry.packet, *table), entry) : m_linkAdmission.reject(EntryReason::BatchFull, entry);
+            const auto decision = index < handled ? admit(entry, *table) : m_linkAdmission.reject(EntryReason::BatchFull, entry);
             apply(decision, entry, *table);
         }
     }
 
+    // Decides about a packet, within the budget of the link.
+    EntryDecision admit(const EntryPacket& entry, const fleet::FleetTable& table)
+    {
+        const std::lock_guard lock(m_routerMutex);
+        const auto placement = m_router.decide(entry.packet, table);
+        const auto decision = m_linkAdmission.admit(placement, entry);
+        if (placement.opensFlow && decision.action != EntryAction::Forward)
+            m_router.withdraw(entry.packet, table, decision.action == EntryAction::Reset);
+        return decision;
+    }
+
     void apply(const EntryDecision& decision, const EntryPacket& entry, const fleet::FleetTable& table)
     {
         ++*m_decisionCounters.at(static_cast<std::size_t>(decision.reason));
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -170,6 +170,7 @@
     if (!m_options.waiting)
         return released;
     auto& waiting = *m_options.waiting;
+    m_options.flows.abandonStalledHandshakes();
     const auto reject = [&](std::vector<WaitingOpening> openings, RelayReason reason) {
         for (auto& opening : openings) {
             // If the agent was suspended, the caller has sent another copy, which another server may have received.
--- a/src/passthrough/linkadmission.h
+++ b/src/passthrough/linkadmission.h
@@ -17,8 +17,7 @@
     // The clock and the metrics must outlive the object.
     LinkAdmission(const LinkAdmissionOptions& options, const IClock& clock, MetricsRegistry& metrics);
 
-    // Returns the decision if the link has room for it. Otherwise a first SYN is reset if a reset has room, and everything
-    // else is dropped: an earlier copy of a retransmitted SYN may have reached a server, so a reset could be untrue.
+    // Returns the decision if the link has room for it. Otherwise a first SYN is reset, and everything else is dropped: an earlier copy of a retransmitted SYN may have reached a server, so a reset could be untrue.
     EntryDecision admit(const EntryDecision& decision, const EntryPacket& entry);
 
     // Counts a received datagram.
--- a/src/passthrough/linkbudget.h
+++ b/src/passthrough/linkbudget.h
@@ -16,7 +16,8 @@
 public:
     LinkBudget(const LinkBudgetOptions& options, const IClock& clock);
 
-    // Returns whether a datagram of this many bytes may be sent now, and counts it if so. Always true for packets of open flows.
+    // Returns whether a datagram of this many bytes may be sent now, and counts it if so. Always true for packets of open
+    // flows and for resets.
     bool take(EntryClass entryClass, std::size_t datagramBytes);
 
     // The same for a first SYN, which is also charged for the packets that its flow is expected to bring. A service whose share of
--- a/src/passthrough/tests/entryplacement.cpp
+++ b/src/passthrough/tests/entryplacement.cpp
@@ -143,6 +143,19 @@
     checkPlacements({ failed });
 }
 
+// Guards against servers that count as unanswered because the link had no room for the SYNs placed there: once the others are
+// full, new flows would be reset although these have room.
+TEST(EntryPlacement, WithdrawnPlacementLeavesNoTrace)
+{
+    for (std::uint32_t copy = 0; copy < 2; ++copy) {
+        const auto placed = router.decide(synPacket(1, copy), *table);
+        CHECK(placed.server);
+        router.withdraw(synPacket(1, copy), *table, false);
+    }
+    router.decide(synPacket(1, 2), *table);
+    LONGS_EQUAL(0, view.counts().unanswered);
+}
+
 // Guards against a full service that affects another one.
 TEST(EntryPlacement, FullServiceLeavesIdleServiceUntouched)
 {
--- a/src/passthrough/tests/flowtracker.cpp
+++ b/src/passthrough/tests/flowtracker.cpp
@@ -1,5 +1,6 @@
 #include "passthrough/flowtracker.h"
 
+#include "passthrough/serverfailures.h"
 #include "passthrough/tests/packets.h"
 #include "testing/manualclock.h"
 
@@ -61,6 +62,23 @@
     LONGS_EQUAL(0, load.outstanding());
 }
 
+// Guards against servers that appear to fail because callers give up: in a burst many do, and every SYN would then search for
+// another server.
+TEST(FlowTracker, CallerThatClosesEarlyIsNoServerFailure)
+{
+    ServerFailures failures(clock);
+    FlowTracker tracker(load, clock, { .failures = &failures });
+    for (std::uint16_t port = 1; port <= 32; ++port) {
+        tracker.open(synPacket(port));
+        tracker.recordServerPacket(synAckPacket(5000, port));
+        tracker.recordCallerPacket(callerPacket(5000, 300, 1001, port));
+        auto fin = callerPacket(5000, 0, 1301, port);
+        fin.fin = true;
+        tracker.recordCallerPacket(fin);
+    }
+    CHECK_FALSE(failures.failing());
+}
+
 // Guards against a response that is never counted because its last packet, with the FIN, arrives first: servers may send the
 // packets of a response in any order.
 TEST(FlowTracker, ReorderedResponseEndsRequest)
