--- a/src/operators/internal/settings.cpp
+++ b/src/operators/internal/settings.cpp
@@ -32,6 +32,8 @@
 constexpr double maximumLinkMbps = 100'000;
 // An agent searches the waiting openings in sequence, and none waits longer than 150 ms.
 constexpr std::uint32_t maximumWaitingOpenings = 1'000;
+// More than the headers of any common encapsulation.
+constexpr std::uint32_t maximumLinkOverheadBytes = 200;
 constexpr std::uint32_t loopbackNetwork = 127;
 
 std::string readText(const std::string& path)
@@ -51,6 +53,7 @@
 void checkOverload(const SettingsChecker& check, const std::string& section, const schema::OverloadSettings& overload)
 {
     check.rangeOrOff(section + ".linkMbps", overload.link_mbps(), minimumLinkMbps, maximumLinkMbps);
+    check.range(section + ".linkOverheadBytes", overload.link_overhead_bytes(), 0, maximumLinkOverheadBytes);
     check.range(section + ".waitingOpenings", overload.waiting_openings(), 0, maximumWaitingOpenings);
 }
 
--- a/src/operators/tests/settings.cpp
+++ b/src/operators/tests/settings.cpp
@@ -49,7 +49,7 @@
 {"name":"c1","endpoint":"127.0.0.1:23050"},{"name":"c2","endpoint":"127.0.0.1:23052"}]}})";
 const std::string passThroughBalancer = R"({"name":"b2","zone":"mandaue","discovery":{"seeds":["127.0.0.1:8166"],"port":8166},
 "balancer":{"passThrough":{"packetEndpoint":"127.0.0.1:23050","peerEndpoint":"127.0.0.1:23051","readyEndpoint":"127.0.0.1:23052",
-"overload":{"linkMbps":2.7,"waitingOpenings":64,"loadNotices":true}}}})";
+"overload":{"linkMbps":2.7,"linkOverheadBytes":28,"waitingOpenings":64,"loadNotices":true}}}})";
 
 // A replacement in valid settings that makes them invalid.
 struct InvalidChange {
@@ -140,6 +140,7 @@
         { passThroughBalancer, "2.7", "-1", ConfigFault::WrongType, 3, "balancer.passThrough.overload.linkMbps" },
         { passThroughBalancer, "2.7", "100001", ConfigFault::OutOfRange, 3, "balancer.passThrough.overload.linkMbps" },
         { passThroughBalancer, "2.7", "\"2.7\"", ConfigFault::WrongType, 3, "balancer.passThrough.overload.linkMbps" },
+        { passThroughBalancer, "28", "201", ConfigFault::OutOfRange, 3, "balancer.passThrough.overload.linkOverheadBytes" },
         { passThroughBalancer, "64", "1001", ConfigFault::OutOfRange, 3, "balancer.passThrough.overload.waitingOpenings" },
         { passThroughBalancer, "64", "-1", ConfigFault::WrongType, 3, "balancer.passThrough.overload.waitingOpenings" },
         { passThroughBalancer, "\"loadNotices\":true", "\"loadNotices\":1", ConfigFault::WrongType, 3, "balancer.passThrough.overload.loadNotices" },
