Report full servers for 100 ms again

Cause: the validity by the number of balancers (up to 400 ms) was introduced while notices were lost on full links.

--- a/src/dataplane/types/loadnotice.h
+++ b/src/dataplane/types/loadnotice.h
@@ -16,9 +16,6 @@
 };
 
 constexpr std::size_t maximumNoticeServers = 31;
-// Each balancer tries a full server again at least this often, whatever validity a notice has, so that no balancer starves a
-// service.
-constexpr std::chrono::milliseconds maximumNoticeValidity { 400 };
 
 // Load of some servers, reported by an agent to the balancer that placed a new flow.
 struct LoadNotice {
--- a/src/passthrough/internal/loadreport.cpp
+++ b/src/passthrough/internal/loadreport.cpp
@@ -4,8 +4,6 @@
 #include "passthrough/types/relaydecision.h"
 #include "passthrough/types/search.h"
 
-#include <algorithm>
-
 namespace clementinesill::passthrough {
 
 namespace {
@@ -13,19 +11,12 @@
 // A busy server has room again as soon as one of its requests ends. With some tens of balancers, one of them tries a busy
 // server again within a few milliseconds.
 constexpr std::chrono::milliseconds busyValidity { 50 };
-// Bounds of the time for which a server is reported as full: long enough to spare the search that finds it full again, and
-// short enough that room is used soon after a burst.
-constexpr std::chrono::milliseconds minimumFullValidity { 25 };
+// A full server has a queue as long as the longest acceptable wait, which lasts longer.
+constexpr std::chrono::milliseconds fullValidity { 100 };
 
 } // namespace
 
-std::chrono::milliseconds fullValidity(std::size_t balancers, Duration timePerStart)
-{
-    const auto validity = std::chrono::duration_cast<std::chrono::milliseconds>(static_cast<std::int64_t>(balancers) * timePerStart);
-    return std::clamp(validity, minimumFullValidity, dataplane::maximumNoticeValidity);
-}
-
-std::optional<dataplane::LoadNotice> makeLoadNotice(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::uint32_t serverId, std::uint32_t priority, std::chrono::milliseconds validityIfFull)
+std::optional<dataplane::LoadNotice> makeLoadNotice(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::uint32_t serverId, std::uint32_t priority)
 {
     // Retransmissions are rejected by servers without a free slot, at which another SYN may still wait.
     const bool full = decision.reason == RelayReason::RejectedByAllServers && !packet.synRetransmissions();
@@ -37,7 +28,7 @@
     dataplane::LoadNotice notice {
         .level = full ? dataplane::LoadLevel::Full : dataplane::LoadLevel::Busy,
         .priority = full ? priority : 0,
-        .validity = full ? validityIfFull : busyValidity,
+        .validity = full ? fullValidity : busyValidity,
         .servers = { search.visited.begin(), search.visited.end() },
     };
     if (!opened && serverId)
--- a/src/passthrough/internal/packetrelay.cpp
+++ b/src/passthrough/internal/packetrelay.cpp
@@ -40,7 +40,6 @@
     , m_pending(pendingCapacity)
     , m_unconfirmed(options.clock, unconfirmedCapacity)
     , m_callerWaitTime(options.metrics.histogram("opening_wait_seconds"))
-    , m_activeBalancers(options.clock)
     , m_waitTimer(loop)
     , m_loadNotices(options.metrics.counter("load_notices_sent_total"))
 {
@@ -201,11 +200,9 @@
 {
     if (!search.route.balancer.port)
         return;
-    m_activeBalancers.record(search.route.balancer);
     const auto table = m_options.tables.table();
     const auto* route = table->route(packet.key.service);
-    const auto validity = fullValidity(m_activeBalancers.count(), m_options.load.timePerStart());
-    const auto notice = makeLoadNotice(decision, search, packet, m_serverId, route ? route->priority : 0, validity);
+    const auto notice = makeLoadNotice(decision, search, packet, m_serverId, route ? route->priority : 0);
     if (!notice)
         return;
     dataplane::GeneveMessage message;
--- a/src/passthrough/internal/packetrelay.h
+++ b/src/passthrough/internal/packetrelay.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "foundation/metrics.h"
-#include "passthrough/activebalancers.h"
 #include "passthrough/admissionmonitor.h"
 #include "passthrough/internal/packetrelayoptions.h"
 #include "passthrough/internal/packetsocket.h"
@@ -76,7 +75,6 @@
     std::array<Counter*, relayReasonCount> m_decisionCounters {};
     Histogram& m_callerWaitTime;
     // Runs only while a SYN waits.
-    ActiveBalancers m_activeBalancers;
     boost::asio::steady_timer m_waitTimer;
     std::optional<MonotonicTime> m_timerExpiry;
     // Indexed by the route's endpoint.
--- a/src/passthrough/internal/serverloadview.cpp
+++ b/src/passthrough/internal/serverloadview.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Each balancer tries a full server again at least this often, whatever validity a notice has, so that no balancer starves a
+// service.
+constexpr std::chrono::milliseconds maximumNoticeValidity { 100 };
 // Longer than the time between the two retransmissions of a SYN (400 ms), so that the second retransmission avoids the server
 // of the first transmission as well.
 constexpr std::chrono::milliseconds unansweredValidity { 500 };
@@ -37,7 +40,7 @@
 {
     const auto now = m_clock.now();
     prune(table, now);
-    const auto expiry = now + std::min<Duration>(notice.validity, dataplane::maximumNoticeValidity);
+    const auto expiry = now + std::min<Duration>(notice.validity, maximumNoticeValidity);
     for (const auto id : notice.servers) {
         if (!table.server(id))
             continue;
