Estimate the bytes of a flow from openings that had time to bring packets

Cause: openings counted at once and their packets about 100 ms later, so at the start of a burst the estimate fell from 1,500 to 600 bytes and too many SYNs passed (found by LinkBudget.ChargesOpeningForPacketsOfItsFlow, which failed before). Change: openings count after a time constant of 100 ms. The log names of the new reasons use the terms of the field. Tests for the charge, its refund, the share of a small service and received datagrams.

--- a/src/passthrough/internal/linkbudget.cpp
+++ b/src/passthrough/internal/linkbudget.cpp
@@ -36,6 +36,9 @@
 // Time constants of the decay of the estimates, and of charges whose packets do not follow because an agent rejected the SYN.
 constexpr double estimateSeconds = 1;
 constexpr double prepaidSeconds = 0.3;
+// Time constant after which a flow has brought its packets. Without it, the estimate would fall at the start of a burst, when
+// many flows have been opened and have sent nothing yet.
+constexpr double observationSeconds = 0.1;
 
 } // namespace
 
@@ -83,6 +86,7 @@
         return false;
     spend(cost);
     m_prepaid += flowBytes;
+    m_newOpenings += 1;
     m_openings += 1;
     m_serviceOpenings[serviceId] += 1;
     return true;
@@ -102,7 +106,7 @@
 
 double LinkBudget::expectedFlowBytes() const
 {
-    const auto estimate = (m_openFlowBytes + initialEstimateWeight * initialFlowBytes) / (m_openings + initialEstimateWeight);
+    const auto estimate = (m_openFlowBytes + initialEstimateWeight * initialFlowBytes) / (m_observedOpenings + initialEstimateWeight);
     return std::clamp(estimate, minimumFlowBytes, maximumFlowBytes);
 }
 
@@ -136,6 +140,9 @@
     m_prepaid -= refund;
     m_tokens = std::min(m_capacity, m_tokens + refund + plannedShare * m_options.bytesPerSecond * elapsed);
     const auto decay = std::exp(-elapsed / estimateSeconds);
+    const auto observed = m_newOpenings * (1 - std::exp(-elapsed / observationSeconds));
+    m_newOpenings -= observed;
+    m_observedOpenings = m_observedOpenings * decay + observed;
     m_openFlowBytes *= decay;
     m_openings *= decay;
     for (auto& [service, openings] : m_serviceOpenings)
--- a/src/passthrough/internal/relaydecision.cpp
+++ b/src/passthrough/internal/relaydecision.cpp
@@ -36,13 +36,13 @@
         "search_bounded",
         "search_budget_spent",
         "reset_not_held",
-        "waits",
+        "waits_for_slot",
         "admitted_after_wait",
         "displaced",
         "wait_expired",
         "already_waiting",
-        "repetition_not_placed",
-        "failing",
+        "retransmission_not_placed",
+        "server_failing",
     };
     return names.at(static_cast<std::size_t>(reason));
 }
--- a/src/passthrough/linkbudget.h
+++ b/src/passthrough/linkbudget.h
@@ -45,10 +45,13 @@
     double m_tokens;
     // What openings were charged for packets that have not followed yet.
     double m_prepaid = 0;
-    // Recent bytes of open flows and openings; both decay at the same rate.
+    // Recent bytes of open flows, and recent openings whose flows have had time to bring packets; both decay at the same rate.
     double m_openFlowBytes = 0;
+    double m_observedOpenings = 0;
+    // Openings whose packets are still to come; they move to m_observedOpenings over time.
+    double m_newOpenings = 0;
+    // Recent openings, in all and by service.
     double m_openings = 0;
-    // Recent openings by service.
     boost::container::flat_map<std::uint32_t, double> m_serviceOpenings;
     MonotonicTime m_updated;
 };
--- a/src/passthrough/tests/linkbudget.cpp
+++ b/src/passthrough/tests/linkbudget.cpp
@@ -57,6 +57,48 @@
     CHECK(budget.take(EntryClass::OpenFlow, largePacketBytes));
 }
 
+// Guards against more admitted flows than the link can carry: their packets follow when the SYNs have long passed.
+TEST(LinkBudget, ChargesOpeningForPacketsOfItsFlow)
+{
+    const auto openings = exhaust(EntryClass::Opening, 0);
+    CHECK(openings * budget.expectedFlowBytes() <= 0.15 * BurstReplay::linkBytesPerSecond);
+    // The packets of these flows are paid for, so that they leave the others their share.
+    for (int opening = 0; opening < openings; ++opening)
+        CHECK(budget.take(EntryClass::OpenFlow, 1400));
+    clock.advance(50ms);
+    CHECK(budget.takeOpening(service, 0, synBytes));
+}
+
+// Guards against a link that stays idle because agents rejected the SYNs whose flows it was charged for.
+TEST(LinkBudget, RefundsChargeOfFlowsThatDoNotFollow)
+{
+    exhaust(EntryClass::Opening, 0);
+    const auto flowBytes = budget.expectedFlowBytes();
+    clock.advance(50ms);
+    // More than the link's rate alone has room for.
+    CHECK(exhaust(EntryClass::Opening, 0) * flowBytes > 0.05 * BurstReplay::linkBytesPerSecond);
+}
+
+// Guards against the burst of one service that rejects the few new flows of another one.
+TEST(LinkBudget, SmallServicePassesBesideBurst)
+{
+    constexpr std::uint32_t smallService = 2;
+    for (int step = 0; step < 200; ++step) {
+        exhaust(EntryClass::Opening, 2);
+        if (step % 20 == 0)
+            CHECK(budget.takeOpening(smallService, 2, synBytes));
+        clock.advance(10ms);
+    }
+}
+
+// Guards against SYNs forwarded at the link's rate while it is already full of received datagrams.
+TEST(LinkBudget, ReceivedDatagramsUseTheSharedRate)
+{
+    for (int count = 0; count < 1000; ++count)
+        budget.recordReceived(false, synBytes);
+    CHECK_FALSE(budget.takeOpening(service, 0, synBytes));
+}
+
 // Guards against a debt that grows with the length of a burst and delays SYNs after it.
 TEST(LinkBudget, RecoversWithinTwoBucketsAfterOpenFlowsExceededLink)
 {
