Reset the caller's connection after an error inside the proxy

An exception while a request was served ended the caller's connection with a FIN, like the end of a response without length, and destroyed the input while its reading coroutine still ran. KeyClaims.FailedClaimResetsCallersConnection failed: the connection was closed, not reset.

The connection now logs the error, resets the caller and waits for the reader.

--- a/src/requests/internal/callerconnection.cpp
+++ b/src/requests/internal/callerconnection.cpp
@@ -1,5 +1,6 @@
 #include "requests/internal/callerconnection.h"
 
+#include "foundation/log.h"
 #include "foundation/metrics.h"
 #include "net/ibytestream.h"
 #include "requests/internal/requesttask.h"
@@ -29,7 +30,14 @@
 boost::asio::awaitable<void> CallerConnection::run()
 {
     boost::asio::co_spawn(m_proxy.executor, m_input.pump(), boost::asio::detached);
-    co_await serveRequests();
+    try {
+        co_await serveRequests();
+    } catch (const std::exception& error) {
+        log(LogLevel::Error, "caller_connection_failed", { { "service", m_proxy.options.service }, { "reason", error.what() } });
+        m_reader = nullptr;
+        // A regular close would end a response without length like a complete one.
+        m_output.abort();
+    }
     co_await close();
 }
 
--- a/src/requests/tests/keyclaims.cpp
+++ b/src/requests/tests/keyclaims.cpp
@@ -8,6 +8,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <stdexcept>
 
 using namespace clementinesill;
 using namespace clementinesill::requests;
@@ -100,6 +101,28 @@
     CHECK_EQUAL(0U, second.harness.server->requests.size());
 }
 
+// Guards against an error inside the proxy that ends the caller's connection like a complete response.
+TEST(KeyClaims, FailedClaimResetsCallersConnection)
+{
+    // Stands for any error; a real claim does not throw.
+    class FailingClaims final : public IKeyClaims {
+    public:
+        boost::asio::awaitable<ClaimResult> claim(std::string, std::uint64_t) override
+        {
+            throw std::runtime_error("claim failed");
+            co_return ClaimResult::NoMajority;
+        }
+        void release(const std::string&) override { }
+    } claims;
+    ProxyHarness harness(respondWith(createdResponse));
+    harness.useClaims(claims);
+    auto& caller = harness.connect();
+    caller.send(keyedRequest);
+    CHECK(harness.runUntilServed());
+    CHECK(caller.resetByProxy);
+    CHECK_FALSE(caller.endedByProxy);
+}
+
 TEST(KeyClaims, ReleasesKeyOfRejectedRequestForOtherAgents)
 {
     Agent first(1, transport, respondWith(rejectionResponse));
