Share code that the overload parts wrote twice

Found by reading the whole change again; no decision changes. - The pass over the servers that picks the lowest key, then the highest rank, stood in EntryRouter and in the agents' search for room: lowestRanked serves both. - Histograms by route stood in PacketRelay and PassThroughAgent: RouteHistograms. - Four moving averages, two of them in classes of the same name: MovingAverage in the foundation. - A third of the latency target, and the timeout in its place, stood in RelayRouter and roomsearch: one constant, and RouteEntry::responseTarget(). - The rule that rejects rather than tries an unanswered server stood in EntryRouter and, by comparing names, in explain-placement: mayPlace. - LinkBudget kept the sum of the services' openings beside them, and treated datagrams that always pass in two places. - Server records of tests: addTestServer.

--- a/src/admission/queuedadmission.h
+++ b/src/admission/queuedadmission.h
@@ -4,7 +4,7 @@
 #include "admission/iadmission.h"
 #include "admission/standingqueue.h"
 #include "admission/types/queueingdecision.h"
-#include "admission/workestimate.h"
+#include "foundation/movingaverage.h"
 
 #include <map>
 #include <vector>
@@ -38,7 +38,8 @@
     const IClock& m_clock;
     AdmissionQueue m_queue;
     StandingQueue m_standingQueue;
-    WorkEstimate m_slotTime;
+    // Time that a request occupies a slot; follows a change within some eight requests.
+    MovingAverage<8> m_slotTime;
     std::map<std::uint64_t, MonotonicTime> m_queuedAt;
 };
 
--- a/src/fleet/types/routeentry.h
+++ b/src/fleet/types/routeentry.h
@@ -30,6 +30,9 @@
     // 0 is the highest.
     std::uint32_t priority = 0;
 
+    // How long a response may take: the latency target, or the timeout if there is none.
+    std::chrono::milliseconds responseTarget() const { return targetLatency.count() ? targetLatency : timeout; }
+
     // Whether the service is a target with a weight above zero, so that new flows may go to it.
     bool hasTarget(std::uint32_t serviceId) const;
 
--- a/src/passthrough/flowtracker.h
+++ b/src/passthrough/flowtracker.h
@@ -54,9 +54,9 @@
     void releaseSlot(TrackedFlow& flow);
     enum class RequestEnd {
         Responded,
-        // The server or the caller closed the flow, or the flow expired.
+        // The server closed the flow, or the flow expired.
         NotResponded,
-        // The server never had the request, or has restarted.
+        // The caller closed the flow, the server never had the request, or it has restarted.
         Withdrawn,
     };
 
--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -3,7 +3,7 @@
 #include "dataplane/iflowcache.h"
 #include "dataplane/types/flowholder.h"
 #include "fleet/fleettable.h"
-#include "fleet/serverrank.h"
+#include "passthrough/internal/lowestranked.h"
 #include "passthrough/internal/placementkey.h"
 #include "passthrough/serverloadview.h"
 #include "passthrough/types/flowpacket.h"
@@ -17,25 +17,6 @@
 
 namespace {
 
-// Returns the server with the lowest key, among equal keys the highest ranked one; null if there is none. key returns no value
-// for a server that must not be selected. One pass without sorting or allocation, since it runs for every SYN.
-template <typename Key>
-const fleet::ServerEntry* lowestRanked(std::uint64_t flowHash, const std::vector<fleet::ServerEntry>& servers, Key&& key)
-{
-    fleet::HighestRanked highest(flowHash);
-    unsigned lowestKey = 0;
-    for (const auto& server : servers) {
-        const std::optional<unsigned> serverKey = key(server);
-        if (!serverKey || (highest.server() && *serverKey > lowestKey))
-            continue;
-        if (*serverKey < lowestKey)
-            highest = fleet::HighestRanked(flowHash);
-        lowestKey = *serverKey;
-        highest.consider(server, [](const auto&) { return true; });
-    }
-    return highest.server();
-}
-
 EntryDecision reset(EntryReason reason) { return { .action = EntryAction::Reset, .reason = reason }; }
 
 EntryDecision place(const fleet::ServerEntry& server, EntryReason reason)
@@ -149,9 +130,7 @@
     const auto* server = lowestRanked(flowHash, service.servers, key);
     if (!anyAccepting)
         return reset(EntryReason::NoServer);
-    // If the others are full, callers would wait in vain for a server that does not answer.
-    const bool hasRoom = server && !(anyFull && m_loadView->load(server->id, route.priority, m_loadView->now()).unanswered);
-    if (hasRoom)
+    if (server && mayPlace(m_loadView->load(server->id, route.priority, m_loadView->now()), anyFull))
         return place(*server, retransmissions ? EntryReason::NextAccepting : EntryReason::LeastLoaded);
     // A reset says that nothing has run, so a SYN that may have reached a server is not reset here.
     const bool mayHaveBeenForwarded = retransmissions && !m_rejections.contains(flowHash);
--- a/src/passthrough/internal/linkadmission.cpp
+++ b/src/passthrough/internal/linkadmission.cpp
@@ -23,7 +23,7 @@
     , m_budget(options.link, clock)
 {
     metrics.describe("entry_link_datagrams_total", "datagrams sent by a balancer, by class");
-    metrics.describe("entry_link_bytes_total", "bytes sent by a balancer with IP and UDP headers, by class");
+    metrics.describe("entry_link_bytes_total", "bytes sent by a balancer with what the link adds to each datagram, by class");
     metrics.describe("entry_link_refused_total", "datagrams for which the entry link had no budget, by class");
     for (std::size_t index = 0; index < m_counters.size(); ++index) {
         const Labels labels { { "class", std::string(name(static_cast<EntryClass>(index))) } };
--- a/src/passthrough/internal/linkbudget.cpp
+++ b/src/passthrough/internal/linkbudget.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <cmath>
+#include <numeric>
 
 namespace clementinesill::passthrough {
 
@@ -61,14 +62,14 @@
 {
     if (m_options.bytesPerSecond <= 0)
         return true;
-    refill();
-    const auto cost = datagramCost(datagramBytes);
-    if (entryClass == EntryClass::OpenFlow) {
-        recordOpenFlowBytes(cost);
+    // A reset is never refused, since each one saves the caller's two retransmissions.
+    if (entryClass == EntryClass::OpenFlow || entryClass == EntryClass::Reset) {
+        recordPassed(entryClass == EntryClass::OpenFlow, datagramBytes);
         return true;
     }
-    // A reset is never refused, since each one saves the caller's two retransmissions.
-    if (entryClass != EntryClass::Reset && m_tokens - cost < retransmittedOpeningReserve * m_capacity)
+    refill();
+    const auto cost = datagramCost(datagramBytes);
+    if (m_tokens - cost < retransmittedOpeningReserve * m_capacity)
         return false;
     spend(cost);
     return true;
@@ -87,15 +88,18 @@
     spend(cost);
     m_prepaid += flowBytes;
     m_newOpenings += 1;
-    m_openings += 1;
     m_serviceOpenings[serviceId] += 1;
     return true;
 }
 
 void LinkBudget::recordReceived(bool ofOpenFlow, std::size_t datagramBytes)
 {
-    if (m_options.bytesPerSecond <= 0)
-        return;
+    if (m_options.bytesPerSecond > 0)
+        recordPassed(ofOpenFlow, datagramBytes);
+}
+
+void LinkBudget::recordPassed(bool ofOpenFlow, std::size_t datagramBytes)
+{
     refill();
     const auto cost = datagramCost(datagramBytes);
     if (ofOpenFlow)
@@ -125,8 +129,9 @@
 {
     const auto found = m_serviceOpenings.find(serviceId);
     const auto openings = found == m_serviceOpenings.end() ? 0 : found->second;
+    const auto allOpenings = std::accumulate(m_serviceOpenings.begin(), m_serviceOpenings.end(), 0.0, [](double sum, const auto& entry) { return sum + entry.second; });
     const auto services = m_serviceOpenings.size() + (found == m_serviceOpenings.end() ? 1 : 0);
-    return services > 1 && openings * static_cast<double>(services) < m_openings;
+    return services > 1 && openings * static_cast<double>(services) < allOpenings;
 }
 
 void LinkBudget::refill()
@@ -144,7 +149,6 @@
     m_newOpenings -= observed;
     m_observedOpenings = m_observedOpenings * decay + observed;
     m_openFlowBytes *= decay;
-    m_openings *= decay;
     for (auto& [service, openings] : m_serviceOpenings)
         openings *= decay;
     const auto inactive = std::remove_if(m_serviceOpenings.begin(), m_serviceOpenings.end(), [](const auto& entry) { return entry.second < inactiveOpenings; });
--- a/src/passthrough/internal/packetrelay.cpp
+++ b/src/passthrough/internal/packetrelay.cpp
@@ -41,6 +41,7 @@
     , m_unconfirmed(options.clock, unconfirmedCapacity)
     , m_callerWaitTime(options.metrics.histogram("opening_wait_seconds"))
     , m_waitTimer(loop)
+    , m_holdTimes(options.metrics, "opening_hold_seconds")
     , m_loadNotices(options.metrics.counter("load_notices_sent_total"))
 {
     for (std::size_t reason = 0; reason < m_decisionCounters.size(); ++reason)
@@ -84,8 +85,7 @@
     const Search search { .route = *message.route, .visited = message.visited, .newestKnownServer = message.newestKnownServer };
     const auto decision = m_options.router.decide(search, *packet, view(*table));
     applyDecision(decision, search, *packet, bytes);
-    if (m_options.router.mayRelease())
-        releaseWaiting();
+    releaseIfDue();
 }
 
 void PacketRelay::onServerPacket(std::span<std::byte> datagram)
@@ -98,12 +98,11 @@
     m_options.localServer.recordServerActivity();
     if (packet->bounced) {
         onBouncedPacket(datagram, *packet);
-        return;
+    } else {
+        m_options.flows.recordServerPacket(*packet);
+        sendToCaller(packet->flowOfServerPacket(), datagram);
     }
-    m_options.flows.recordServerPacket(*packet);
-    sendToCaller(packet->flowOfServerPacket(), datagram);
-    if (m_options.router.mayRelease())
-        releaseWaiting();
+    releaseIfDue();
 }
 
 void PacketRelay::onBouncedPacket(std::span<std::byte> datagram, const FlowPacket& packet)
@@ -119,8 +118,6 @@
     }
     m_options.format.setMark(datagram, 0);
     applyDecision(m_options.router.decideBounced(search, packet, view(*table)), search, packet, datagram);
-    if (m_options.router.mayRelease())
-        releaseWaiting();
 }
 
 void PacketRelay::applyDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet, std::span<std::byte> bytes)
@@ -157,14 +154,21 @@
     }
 }
 
+void PacketRelay::releaseIfDue()
+{
+    if (m_options.router.mayRelease())
+        releaseWaiting();
+}
+
 void PacketRelay::releaseWaiting()
 {
     if (!m_options.waiting || (m_options.waiting->empty() && !m_options.waiting->hasDisplaced()))
         return;
     const auto table = m_options.tables.table();
     for (auto& released : m_options.router.releaseWaiting(view(*table))) {
-        recordHoldTime(released, *table);
-        applyDecision(released.decision, released.opening.search, released.opening.packet, released.opening.bytes);
+        const auto& opening = released.opening;
+        m_holdTimes.record(opening.packet.key.service, m_options.clock.now() - opening.arrivedAt, *table);
+        applyDecision(released.decision, opening.search, opening.packet, released.opening.bytes);
     }
     scheduleNextExpiry();
 }
@@ -185,17 +189,6 @@
     });
 }
 
-void PacketRelay::recordHoldTime(const ReleasedOpening& released, const fleet::FleetTable& table)
-{
-    const auto& endpoint = released.opening.packet.key.service;
-    auto& histogram = m_holdTimes[endpoint];
-    if (!histogram) {
-        const auto* route = table.route(endpoint);
-        histogram = &m_options.metrics.histogram("opening_hold_seconds", { { "route", route ? route->name : format(endpoint) } });
-    }
-    histogram->record(std::chrono::duration<double>(m_options.clock.now() - released.opening.arrivedAt).count());
-}
-
 void PacketRelay::reportLoad(const RelayDecision& decision, const Search& search, const FlowPacket& packet)
 {
     if (!search.route.balancer.port)
--- a/src/passthrough/internal/packetrelay.h
+++ b/src/passthrough/internal/packetrelay.h
@@ -4,6 +4,7 @@
 #include "passthrough/admissionmonitor.h"
 #include "passthrough/internal/packetrelayoptions.h"
 #include "passthrough/internal/packetsocket.h"
+#include "passthrough/internal/routehistograms.h"
 #include "passthrough/pendingsearches.h"
 #include "passthrough/types/relaydecision.h"
 #include "passthrough/types/relaydecisioncontext.h"
@@ -11,7 +12,6 @@
 
 #include <array>
 #include <boost/asio/steady_timer.hpp>
-#include <map>
 #include <optional>
 
 namespace clementinesill {
@@ -24,8 +24,6 @@
 
 namespace clementinesill::passthrough {
 
-struct ReleasedOpening;
-
 // Relays packets between daemons, the server on this agent's VM and callers, as decided by the router.
 class PacketRelay {
 public:
@@ -53,8 +51,8 @@
     void deliverToServer(const FlowPacket& packet, std::span<std::byte> bytes, std::uint32_t mark);
     agent::TableView view(const fleet::FleetTable& table) const;
     void forwardToAgent(const RelayDecision& decision, Search search, std::span<const std::byte> bytes);
+    void releaseIfDue();
     void scheduleNextExpiry();
-    void recordHoldTime(const ReleasedOpening& released, const fleet::FleetTable& table);
     void reportLoad(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
     void notifyBalancer(const Search& search, const fleet::FlowKey& key);
     void recordDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
@@ -77,8 +75,7 @@
     // Runs only while a SYN waits.
     boost::asio::steady_timer m_waitTimer;
     std::optional<MonotonicTime> m_timerExpiry;
-    // Indexed by the route's endpoint.
-    std::map<Endpoint, Histogram*> m_holdTimes;
+    RouteHistograms m_holdTimes;
     Counter& m_loadNotices;
 };
 
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -4,7 +4,6 @@
 #include "fleet/itablesource.h"
 #include "fleet/types/routeentry.h"
 #include "foundation/error.h"
-#include "foundation/histogram.h"
 #include "foundation/irolemodule.h"
 #include "foundation/log.h"
 #include "foundation/metrics.h"
@@ -15,6 +14,7 @@
 #include "passthrough/flowtracker.h"
 #include "passthrough/iheartbeathandler.h"
 #include "passthrough/internal/packetrelay.h"
+#include "passthrough/internal/routehistograms.h"
 #include "passthrough/internal/serverregistrar.h"
 #include "passthrough/internal/tablemetrics.h"
 #include "passthrough/localserver.h"
@@ -33,7 +33,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <functional>
 #include <future>
-#include <map>
 #include <memory>
 #include <thread>
 #include <utility>
@@ -75,7 +74,7 @@
         , m_heartbeatInterval(std::chrono::milliseconds(m_settings.heartbeat_ms()))
         , m_server(m_clock, m_heartbeatInterval)
         , m_coldStartLimit(m_clock, { .factor = m_settings.cold_factor(), .extraFlows = m_settings.cold_extra_flows() })
-        , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .requestTimeout = waiting() ? requestTimeout : Duration::zero(), .failures = waiting() ? &m_failures : nullptr, .responseStarted = [this](const auto& flow, auto elapsed) { recordResponseTime(flow, elapsed); } })
+        , m_flows(m_load, m_clock, { .idleTimeout = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .requestTimeout = waiting() ? requestTimeout : Duration::zero(), .failures = waiting() ? &m_failures : nullptr, .responseStarted = [this](const auto& flow, auto elapsed) { m_responseTimes.record(flow.service, elapsed, *m_fleet.tables().table()); } })
         , m_router({ .zone = m_zone, .flows = m_flows, .server = m_server, .load = m_load, .coldStartLimit = m_coldStartLimit, .misses = m_misses, .clock = m_clock, .flowLifetime = std::chrono::seconds(m_settings.flow_lifetime_seconds()), .waiting = waiting(), .failures = waiting() ? &m_failures : nullptr })
         , m_relay(m_loop, { .daemonEndpoint = parseEndpoint(m_settings.packet_endpoint()), .serverPacketEndpoint = parseEndpoint(m_settings.server_packets_endpoint()), .serverEndpoint = m_serverEndpoint, .format = format, .router = m_router, .flows = m_flows, .load = m_load, .localServer = m_server, .tables = fleet.tables(), .metrics = metrics, .onTableChanged = [this](const auto& table) { onTableChanged(table); }, .requestConfirmation = [this] { m_registrar->requestRenewal(); }, .clock = m_clock, .waiting = waiting(), .sendLoadNotices = m_settings.overload().load_notices() })
     {
@@ -177,18 +176,6 @@
         return ready.wait_for(gaugeTimeout) == std::future_status::ready ? ready.get() : 0;
     }
 
-    // Records the response time of one request under its route.
-    void recordResponseTime(const fleet::FlowKey& flow, Duration elapsed)
-    {
-        auto& histogram = m_responseTimes[flow.service];
-        if (!histogram) {
-            const auto table = m_fleet.tables().table();
-            const auto* route = table->route(flow.service);
-            histogram = &m_metrics.histogram("answer_seconds", { { "route", route ? route->name : format(flow.service) } });
-        }
-        histogram->record(std::chrono::duration<double>(elapsed).count());
-    }
-
     void countHeartbeat(const char* outcome) { ++m_metrics.counter("heartbeats_total", { { "outcome", outcome } }); }
 
     void handleHeartbeat(const ServerHeartbeat& heartbeat)
@@ -325,7 +312,7 @@
     // The server that the table has at this endpoint; used while no server has been registered by this agent.
     fleet::Registration m_adoptedRegistration;
     // Indexed by the route's endpoint; used only on the loop.
-    std::map<Endpoint, Histogram*> m_responseTimes;
+    RouteHistograms m_responseTimes { m_metrics, "answer_seconds" };
     std::uint64_t m_tableVersion = 0;
     bool m_zoneOut = false;
     bool m_serverSilent = false;
--- a/src/passthrough/internal/placementexplanation.cpp
+++ b/src/passthrough/internal/placementexplanation.cpp
@@ -17,6 +17,7 @@
 
 struct RankedCandidate {
     unsigned key;
+    PerceivedLoad load;
     schema::PlacementCandidate candidate;
 };
 
@@ -50,7 +51,7 @@
 
 RankedCandidate rankCandidate(const fleet::ServerEntry& server, const fleet::RouteEntry& route, const std::string& zone, const ServerLoadView* loadView)
 {
-    RankedCandidate ranked { .key = notPlacedKey, .candidate = {} };
+    RankedCandidate ranked { .key = notPlacedKey, .load = {}, .candidate = {} };
     auto& candidate = ranked.candidate;
     candidate.set_server(server.name);
     candidate.set_server_id(server.id);
@@ -60,12 +61,13 @@
         return ranked;
     }
     const auto now = loadView ? loadView->now() : MonotonicTime();
-    const auto load = loadView ? loadView->load(server.id, route.priority, now) : PerceivedLoad();
-    candidate.set_load(std::string(name(load)));
-    if (!load.none())
-        describeLoad(load, *loadView->record(server.id), now, candidate);
-    if (!load.full)
-        ranked.key = placementKey(load, server.zone != zone, route.kind);
+    if (loadView)
+        ranked.load = loadView->load(server.id, route.priority, now);
+    candidate.set_load(std::string(name(ranked.load)));
+    if (!ranked.load.none())
+        describeLoad(ranked.load, *loadView->record(server.id), now, candidate);
+    if (!ranked.load.full)
+        ranked.key = placementKey(ranked.load, server.zone != zone, route.kind);
     return ranked;
 }
 
@@ -79,7 +81,7 @@
     std::ranges::stable_sort(ranking, {}, &RankedCandidate::key);
     std::uint32_t place = 0;
     auto previousKey = notPlacedKey;
-    for (auto& [key, candidate] : ranking) {
+    for (auto& [key, load, candidate] : ranking) {
         if (key != notPlacedKey) {
             place += key != previousKey ? 1 : 0;
             candidate.set_place(place);
@@ -89,8 +91,8 @@
     }
     if (record.candidates().empty() || !std::ranges::any_of(service.servers, &fleet::ServerEntry::accepting))
         return EntryReason::NoServer;
-    const bool anyFull = std::ranges::any_of(record.candidates(), [](const auto& candidate) { return candidate.load() == "full"; });
-    if (place && !(anyFull && record.candidates(0).load() == "unanswered"))
+    const bool anyFull = std::ranges::any_of(ranking, [](const auto& candidate) { return candidate.load.full; });
+    if (place && mayPlace(ranking.front().load, anyFull))
         return loadView && !loadView->empty() ? EntryReason::LeastLoaded : EntryReason::FirstAccepting;
     for (auto& candidate : *record.mutable_candidates())
         candidate.set_place(0);
--- a/src/passthrough/internal/placementkey.h
+++ b/src/passthrough/internal/placementkey.h
@@ -15,4 +15,8 @@
     return 4 * unanswered + (kind == fleet::RequestKind::Download ? 2 * zone + busy : 2 * busy + zone);
 }
 
+// Whether a new flow goes to the first server in the order of placementKey, or is rejected: while others are full, callers would
+// wait in vain for one that does not answer.
+inline bool mayPlace(const PerceivedLoad& first, bool anyFull) { return !(anyFull && first.unanswered); }
+
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -27,9 +27,6 @@
 
 namespace {
 
-// A request may spend a third of the latency target in the queue of the last server visited; the rest of the target is left
-// for the network and for processing.
-constexpr int queueingDelayDivisor = 3;
 // Limits how many agents forward one packet. A hop takes about a millisecond, and the caller's retransmission starts a new
 // search.
 constexpr std::uint16_t maximumHops = 1500;
@@ -259,8 +256,7 @@
         return false;
     if (!route)
         return true;
-    const auto target = route->targetLatency.count() ? route->targetLatency : route->timeout;
-    return m_options.load.expectedQueueingDelay() <= target / queueingDelayDivisor;
+    return m_options.load.expectedQueueingDelay() <= route->responseTarget() / queueingDelayDivisor;
 }
 
 RelayDecision RelayRouter::forwardNewFlow(const Search& search, const FlowPacket& packet, const agent::TableView& view, RelayReason rejectReason) const
--- a/src/passthrough/linkbudget.h
+++ b/src/passthrough/linkbudget.h
@@ -33,6 +33,8 @@
 
 private:
     void refill();
+    // Counts a datagram that passes whatever the budget.
+    void recordPassed(bool ofOpenFlow, std::size_t datagramBytes);
     void recordOpenFlowBytes(double bytes);
     void spend(double bytes);
     bool usesLessThanEqualShare(std::uint32_t serviceId) const;
@@ -50,8 +52,7 @@
     double m_observedOpenings = 0;
     // Openings whose packets are still to come; they move to m_observedOpenings over time.
     double m_newOpenings = 0;
-    // Recent openings, in all and by service.
-    double m_openings = 0;
+    // Recent openings by service.
     boost::container::flat_map<std::uint32_t, double> m_serviceOpenings;
     MonotonicTime m_updated;
 };
--- a/src/passthrough/roomsearch.h
+++ b/src/passthrough/roomsearch.h
@@ -24,6 +24,9 @@
 // Rules of the search for a server with room for a new flow. Answers bursts of several times the capacity: without limits, each
 // rejected SYN visits up to 30 agents, and a SYN waits until its caller's retransmission adds to the load.
 
+// A request may spend a third of the latency target in a queue; the rest of the target is left for the network and for
+// processing.
+constexpr int queueingDelayDivisor = 3;
 // Servers that a SYN visits to find a free slot; it may wait at the last one.
 constexpr std::size_t serversAskedForSlot = 4;
 // Servers that a SYN visits in all.
--- a/src/passthrough/serverload.h
+++ b/src/passthrough/serverload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foundation/iclock.h"
+#include "foundation/movingaverage.h"
 #include "passthrough/workestimate.h"
 
 #include <cstdint>
@@ -44,8 +45,8 @@
 private:
     std::uint32_t m_slots = 1;
     std::uint32_t m_outstanding = 0;
-    // Moving average of the time that a request occupies a slot.
-    Duration m_serviceTime = std::chrono::milliseconds(30);
+    // Time that a request occupies a slot.
+    MovingAverage<16> m_serviceTime { std::chrono::milliseconds(30) };
     WorkEstimate m_workEstimate;
 };
 
--- a/src/passthrough/tests/placementsimulation.cpp
+++ b/src/passthrough/tests/placementsimulation.cpp
@@ -1,7 +1,7 @@
 #include "passthrough/tests/placementsimulation.h"
 
 #include "dataplane/types/loadnotice.h"
-#include "fleet.pb.h"
+#include "passthrough/tests/testtable.h"
 #include "passthrough/zonerank.h"
 
 #include <algorithm>
@@ -50,23 +50,12 @@
 
 std::shared_ptr<const fleet::FleetTable> makeTable(const PlacementScenario& scenario)
 {
-    schema::Table table;
-    table.set_version(10);
-    table.set_hash_seed(7);
-    table.set_document_version(3);
+    auto table = makeTestTable();
     auto& service = *table.add_services();
     service.set_id(mainService);
     service.set_name("main");
-    for (std::uint32_t id = 1; id <= scenario.servers; ++id) {
-        auto& server = *table.add_servers();
-        server.set_id(id);
-        server.set_incarnation(1);
-        server.set_service_id(mainService);
-        server.set_zone(zoneName(id, scenario));
-        server.set_agent_endpoint("10.0.0." + std::to_string(id) + ":8172");
-        server.set_slots(scenario.slots);
-        server.set_state(schema::SERVER_STATE_ACTIVE);
-    }
+    for (std::uint32_t id = 1; id <= scenario.servers; ++id)
+        addTestServer(table, id, mainService, zoneName(id, scenario), scenario.slots);
     for (std::size_t kind = 0; kind < classes.size(); ++kind) {
         auto& route = *table.add_routes();
         route.set_endpoint(format(routeEndpoint(kind)));
--- a/src/passthrough/tests/restartsimulation.cpp
+++ b/src/passthrough/tests/restartsimulation.cpp
@@ -1,6 +1,6 @@
 #include "passthrough/tests/restartsimulation.h"
 
-#include "fleet.pb.h"
+#include "passthrough/tests/testtable.h"
 
 #include <cmath>
 
@@ -28,23 +28,12 @@
 
 std::shared_ptr<const fleet::FleetTable> makeTable(const RestartScenario& scenario)
 {
-    schema::Table table;
-    table.set_version(10);
-    table.set_hash_seed(7);
-    table.set_document_version(3);
+    auto table = makeTestTable();
     auto& service = *table.add_services();
     service.set_id(simulatedService);
     service.set_name("desk");
-    for (std::uint32_t id = 1; id <= scenario.servers; ++id) {
-        auto& server = *table.add_servers();
-        server.set_id(id);
-        server.set_incarnation(1);
-        server.set_service_id(simulatedService);
-        server.set_zone("mandaue");
-        server.set_agent_endpoint("10.0.0." + std::to_string(id) + ":8172");
-        server.set_slots(scenario.slots);
-        server.set_state(schema::SERVER_STATE_ACTIVE);
-    }
+    for (std::uint32_t id = 1; id <= scenario.servers; ++id)
+        addTestServer(table, id, simulatedService, "mandaue", scenario.slots);
     std::uint16_t port = testService.port;
     for (const auto& requestClass : scenario.classes) {
         auto& route = *table.add_routes();
--- a/src/passthrough/tests/testtable.h
+++ b/src/passthrough/tests/testtable.h
@@ -12,24 +12,44 @@
 constexpr std::uint32_t deskService = 1;
 constexpr std::uint32_t galleryService = 2;
 
+// Starts a table with the version, hash seed and document version that tests use.
+inline schema::Table makeTestTable()
+{
+    schema::Table table;
+    table.set_version(10);
+    table.set_hash_seed(7);
+    table.set_document_version(3);
+    return table;
+}
+
+inline void addTestServer(schema::Table& table, std::uint32_t id, std::uint32_t service, const std::string& zone, std::uint32_t slots = 2)
+{
+    auto& server = *table.add_servers();
+    server.set_id(id);
+    server.set_incarnation(1);
+    server.set_service_id(service);
+    server.set_zone(zone);
+    server.set_agent_endpoint("10.0.0." + std::to_string(id) + ":8172");
+    server.set_slots(slots);
+    server.set_state(schema::SERVER_STATE_ACTIVE);
+    server.set_name("server-" + std::to_string(id));
+}
+
 // Builds a table with two services: servers 1 and 2 of the first service are in zone mandaue, 3 in talisay; server 4 belongs to
 // the second service.
 class TestTable {
 public:
     TestTable()
     {
-        m_table.set_version(10);
-        m_table.set_hash_seed(7);
-        m_table.set_document_version(3);
         for (const auto id : { deskService, galleryService }) {
             auto& service = *m_table.add_services();
             service.set_id(id);
             service.set_name(id == deskService ? "desk" : "gallery");
         }
-        addServer(1, deskService, "mandaue");
-        addServer(2, deskService, "mandaue");
-        addServer(3, deskService, "talisay");
-        addServer(4, galleryService, "mandaue");
+        addTestServer(m_table, 1, deskService, "mandaue");
+        addTestServer(m_table, 2, deskService, "mandaue");
+        addTestServer(m_table, 3, deskService, "talisay");
+        addTestServer(m_table, 4, galleryService, "mandaue");
         auto& route = *m_table.add_routes();
         route.set_endpoint(format(testService));
         route.set_timeout_ms(1000);
@@ -49,20 +69,7 @@
     }
 
 private:
-    void addServer(std::uint32_t id, std::uint32_t service, const std::string& zone)
-    {
-        auto& server = *m_table.add_servers();
-        server.set_id(id);
-        server.set_incarnation(1);
-        server.set_service_id(service);
-        server.set_zone(zone);
-        server.set_agent_endpoint("10.0.0." + std::to_string(id) + ":8172");
-        server.set_slots(2);
-        server.set_state(schema::SERVER_STATE_ACTIVE);
-        server.set_name("server-" + std::to_string(id));
-    }
-
-    schema::Table m_table;
+    schema::Table m_table = makeTestTable();
 };
 
 } // namespace clementinesill::passthrough
--- a/src/requests/internal/requestadmitter.h
+++ b/src/requests/internal/requestadmitter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/queuedadmission.h"
+#include "foundation/movingaverage.h"
 #include "requests/internal/signal.h"
 
 #include <array>
@@ -37,7 +38,7 @@
     admission::QueuedAdmission m_admission;
     const IClock& m_clock;
     // One for each RequestKind.
-    std::array<admission::WorkEstimate, 2> m_work;
+    std::array<MovingAverage<8>, 2> m_work;
     boost::asio::any_io_executor m_executor;
     std::map<std::uint64_t, Waiter> m_waiters;
 };
