Log why elections fail, why learners wait and what the group can still lose

The logs could not tell whether a learner that held the log was unknown to the leader, lagging, or refused a place, and contained neither votes nor the members at a start.

- log_opened: content of a controller's data folder at its start.
- election_without_majority: who granted, who rejected with which reason, who is silent.
- learner_waiting: why the leader does not admit a learner.
- group_redundancy and the metric tolerable_losses: voters that may be lost now.

--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -24,6 +24,11 @@
     "the candidate's log is behind",
 };
 
+void appendToList(std::string& list, const std::string& item)
+{
+    list += (list.empty() ? "" : ", ") + item;
+}
+
 } // namespace
 
 const schema::Member* ReplicatedLog::member(const std::string& name) const
@@ -81,18 +86,39 @@
 
 void ReplicatedLog::startElection(ReplicaRole role)
 {
-    if (role == ReplicaRole::PreCandidate)
+    if (role == ReplicaRole::PreCandidate) {
+        if (m_role != ReplicaRole::Follower)
+            logElectionWithoutMajority();
         m_formerTerm = formerTerm();
+    }
     if (role == ReplicaRole::Candidate)
         saveVote(m_vote.term() + 1, m_options.name);
     m_role = role;
     m_leaderEndpoint.clear();
     m_votes = { m_options.name };
     m_requestedVotes.clear();
+    m_voteRejections.clear();
     resetElectionTimeout();
     countVotes();
 }
 
+void ReplicatedLog::logElectionWithoutMajority() const
+{
+    std::string granted;
+    std::string rejected;
+    std::string unanswered;
+    for (const auto& member : m_log.membership()->members()) {
+        const auto rejection = m_voteRejections.find(member.name());
+        if (m_votes.contains(member.name()))
+            appendToList(granted, member.name());
+        else if (rejection != m_voteRejections.end())
+            appendToList(rejected, member.name() + " (" + rejection->second + ")");
+        else
+            appendToList(unanswered, member.name());
+    }
+    log(LogLevel::Warn, "election_without_majority", { { .key = "role", .value = std::string(name(m_role)) }, { .key = "term", .value = std::to_string(m_vote.term()) }, { .key = "last_index", .value = std::to_string(m_log.lastIndex()) }, { .key = "granted", .value = granted }, { .key = "rejected", .value = rejected }, { .key = "unanswered", .value = unanswered } });
+}
+
 void ReplicatedLog::countVotes()
 {
     if (m_votes.size() <= static_cast<std::size_t>(m_log.membership()->members_size()) / 2)
@@ -109,6 +135,7 @@
     m_leaderEndpoint = m_options.endpoint;
     m_leaderSince = m_clock.now();
     m_joinedPeers.clear();
+    m_admissionObstacles.clear();
     m_replication.startTerm(m_log.lastIndex());
     // Entries of earlier terms are committed only together with an entry of this term.
     appendEntry({}, false);
@@ -138,8 +165,12 @@
     adoptTerm(response.term());
     const auto expectedTerm = m_vote.term() + (request.pre_vote() ? 1 : 0);
     const auto expectedRole = request.pre_vote() ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
-    if (m_role != expectedRole || request.term() != expectedTerm || !response.granted())
+    if (m_role != expectedRole || request.term() != expectedTerm)
         return;
+    if (!response.granted()) {
+        m_voteRejections[peer] = response.reason();
+        return;
+    }
     const auto* voter = member(peer);
     if (!voter || voter->disk_identity() != request.disk_identity())
         return;
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -2,11 +2,25 @@
 #include "foundation/log.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 // The leader: replication, commit and membership changes.
 
 namespace clementinesill::control {
 
+namespace {
+
+// Logged, indexed by AdmissionObstacle.
+constexpr std::array<const char*, 4> admissionObstacles {
+    "",
+    "it does not respond",
+    "it does not hold all committed entries",
+    "the group is full",
+};
+
+} // namespace
+
 std::optional<PeerMessage> ReplicatedLog::nextReplicationMessage(const std::string& peer)
 {
     flushEntries();
@@ -138,12 +152,12 @@
         removeMember(peer.name, "its data folder was replaced");
         return true;
     }
-    // A learner becomes a voting member once it holds all committed entries.
-    const bool isActive = progress.acknowledgedSendTime + m_options.minElectionTimeout > m_clock.now();
-    if (progress.matchIndex < m_commitIndex || !isActive)
-        return false;
-    if (membership.members_size() >= m_options.maxMembers)
+    const auto obstacle = admissionObstacle(peer.name);
+    recordAdmissionObstacle(peer.name, obstacle);
+    if (obstacle == AdmissionObstacle::GroupFull)
         return removeAbsentMember();
+    if (obstacle != AdmissionObstacle::None)
+        return false;
     auto& added = *membership.add_members();
     added.set_name(peer.name);
     added.set_endpoint(peer.endpoint);
@@ -153,6 +167,26 @@
     return true;
 }
 
+// A learner becomes a voting member once it holds all committed entries.
+ReplicatedLog::AdmissionObstacle ReplicatedLog::admissionObstacle(const std::string& learner) const
+{
+    const auto& progress = m_replication.peers().at(learner);
+    if (progress.acknowledgedSendTime + m_options.minElectionTimeout <= m_clock.now())
+        return AdmissionObstacle::NotResponding;
+    if (progress.matchIndex < m_commitIndex)
+        return AdmissionObstacle::LogBehind;
+    return m_log.membership()->members_size() < m_options.maxMembers ? AdmissionObstacle::None : AdmissionObstacle::GroupFull;
+}
+
+// Logs the obstacle if it has changed.
+void ReplicatedLog::recordAdmissionObstacle(const std::string& learner, AdmissionObstacle obstacle)
+{
+    if (std::exchange(m_admissionObstacles[learner], obstacle) == obstacle || obstacle == AdmissionObstacle::None)
+        return;
+    const auto& progress = m_replication.peers().at(learner);
+    log(LogLevel::Info, "learner_waiting", { { .key = "learner", .value = learner }, { .key = logkey::reason, .value = admissionObstacles.at(static_cast<std::size_t>(obstacle)) }, { .key = "match_index", .value = std::to_string(progress.matchIndex) }, { .key = "commit_index", .value = std::to_string(m_commitIndex) } });
+}
+
 // Removes a member that is absent from a full group, so that a waiting learner can take its place. The removed member may
 // return later as a learner.
 bool ReplicatedLog::removeAbsentMember()
@@ -178,6 +212,19 @@
     proposeMembership(membership);
 }
 
+std::optional<GroupRedundancy> ReplicatedLog::redundancy() const
+{
+    if (!hasValidLease())
+        return std::nullopt;
+    const auto& members = m_log.membership()->members();
+    const auto since = m_clock.now() - m_options.minElectionTimeout;
+    GroupRedundancy redundancy { .voters = members.size() };
+    redundancy.responding = static_cast<int>(std::count_if(members.begin(), members.end(), [&](const auto& member) { return m_replication.isActiveSince(member, since); }));
+    redundancy.learners = static_cast<int>(std::count_if(m_joinedPeers.begin(), m_joinedPeers.end(), [&](const auto& entry) { return !member(entry.first); }));
+    redundancy.tolerableLosses = std::max(0, redundancy.responding - (redundancy.voters / 2 + 1));
+    return redundancy;
+}
+
 bool ReplicatedLog::hasQuorumWithout(const std::string& name) const
 {
     const auto& members = m_log.membership()->members();
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -176,6 +176,7 @@
             m_context, [this] { return initializeFleet(); }, detached);
     }
     publishChanges();
+    publishRedundancy();
     for (const auto& [name, link] : m_links)
         link->wake();
     // Keeps the timer at the log's deadline, so that it fires only when something is due.
@@ -209,11 +210,27 @@
         clementinesill::log(hasLeader ? LogLevel::Info : LogLevel::Warn, hasLeader ? "leader_heard" : "leader_lost", { { .key = "term", .value = term }, { .key = "leader", .value = m_log.leaderEndpoint() }, { .key = logkey::version, .value = std::to_string(m_state.version()) } });
 }
 
+// Logs when the leader's view of the group changes: an operator needs to know of a missing controller before others fail too.
+void ReplicatedCommandLog::publishRedundancy()
+{
+    const auto redundancy = m_log.redundancy();
+    if (redundancy == m_publishedRedundancy)
+        return;
+    m_publishedRedundancy = redundancy;
+    m_tolerableLosses = redundancy ? redundancy->tolerableLosses : -1;
+    if (!redundancy)
+        return;
+    const bool complete = redundancy->responding == redundancy->voters;
+    clementinesill::log(complete ? LogLevel::Info : LogLevel::Warn, "group_redundancy", { { .key = "voters", .value = std::to_string(redundancy->voters) }, { .key = "responding", .value = std::to_string(redundancy->responding) }, { .key = "learners", .value = std::to_string(redundancy->learners) }, { .key = "tolerable_losses", .value = std::to_string(redundancy->tolerableLosses) } });
+}
+
 void ReplicatedCommandLog::describeMetrics()
 {
     m_metrics.describe("log_sync_seconds", "time to make something durable");
     m_metrics.describe("command_seconds", "time from a command to its outcome, by outcome");
     m_metrics.describe("elections_won_total", "times that this controller began to lead with a quorum");
+    m_metrics.describe("tolerable_losses", "voting controllers that the group could lose now and still have a majority; -1 unless this controller leads");
+    m_metrics.addGauge("tolerable_losses", {}, [this] { return static_cast<double>(m_tolerableLosses); });
 }
 
 bool ReplicatedCommandLog::mayBeElectingFirstLeader() const
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -11,6 +11,7 @@
 #include "control/replicatedlog.h"
 #include "foundation/seededrandom.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -64,6 +65,7 @@
     void processLogEvent();
     void publishChanges();
     void logLeadershipChanges(bool hasValidLease, bool hasLeader);
+    void publishRedundancy();
     void describeMetrics();
     void abandonPendingCommands();
 
@@ -97,6 +99,9 @@
     // Members that start together should have elected the first leader by then.
     MonotonicTime m_firstElectionDeadline;
     bool m_everHadLeader = false;
+    std::optional<GroupRedundancy> m_publishedRedundancy;
+    // Read by the thread that renders the metrics; -1 unless this controller leads.
+    std::atomic<int> m_tolerableLosses = -1;
 };
 
 } // namespace clementinesill::control
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -45,6 +45,7 @@
         machine.restore(m_log.snapshot().state());
     m_commitIndex = m_log.snapshot().last_index();
     m_appliedIndex = m_commitIndex;
+    logOpened();
     resetElectionTimeout();
     // The last leader need not wait for another leader's lease to expire.
     if (formerTerm())
@@ -53,6 +54,16 @@
         bootstrapGroup();
 }
 
+void ReplicatedLog::logOpened() const
+{
+    std::string members;
+    for (int index = 0; m_log.membership() && index < m_log.membership()->members_size(); ++index) {
+        const auto& member = m_log.membership()->members(index);
+        members += (index ? ", " : "") + member.name() + "/" + std::to_string(member.disk_identity());
+    }
+    log(LogLevel::Info, "log_opened", { { .key = "disk_identity", .value = std::to_string(m_diskIdentity) }, { .key = "term", .value = std::to_string(m_vote.term()) }, { .key = "voted_for", .value = m_vote.voted_for() }, { .key = "snapshot_index", .value = std::to_string(m_log.snapshot().last_index()) }, { .key = "last_index", .value = std::to_string(m_log.lastIndex()) }, { .key = "last_term", .value = std::to_string(m_log.lastTerm()) }, { .key = "members", .value = members } });
+}
+
 ReplicaRole ReplicatedLog::role() const
 {
     if (m_role == ReplicaRole::Follower && !isMember())
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -3,6 +3,7 @@
 #include "control/entrylog.h"
 #include "control/ireplicatedlog.h"
 #include "control/replication.h"
+#include "control/types/groupredundancy.h"
 #include "control/types/replicatedlogoptions.h"
 
 #include <map>
@@ -53,6 +54,9 @@
     std::uint64_t diskIdentity() const { return m_diskIdentity; }
     const Replication& replication() const { return m_replication; }
 
+    // Empty unless this controller is a leader with a valid lease.
+    std::optional<GroupRedundancy> redundancy() const;
+
 private:
     enum class VoteRejection {
         None,
@@ -63,6 +67,14 @@
         CandidateLogBehind,
     };
 
+    // Why a learner is not admitted as a voting member.
+    enum class AdmissionObstacle {
+        None,
+        NotResponding,
+        LogBehind,
+        GroupFull,
+    };
+
     // Runs the step; steps down if the storage refuses a write.
     template <typename Step>
     void runStep(Step step);
@@ -70,6 +82,9 @@
     void checkDeadlines();
     void processResponse(const std::string& peer, const PeerMessage& message, const PeerResponse& response);
 
+    // Logs what the data folder contained.
+    void logOpened() const;
+
     // Elections.
     bool isMember() const;
     const schema::Member* member(const std::string& name) const;
@@ -78,6 +93,7 @@
     void resetElectionTimeout();
     std::uint64_t formerTerm() const;
     void startElection(ReplicaRole role);
+    void logElectionWithoutMajority() const;
     void countVotes();
     void becomeLeader();
     bool isCandidateUpToDate(const schema::VoteRequest& request) const;
@@ -110,6 +126,8 @@
     // Membership changes.
     void updateMembership();
     bool updatePeerMembership(const ReplicaPeer& peer);
+    AdmissionObstacle admissionObstacle(const std::string& learner) const;
+    void recordAdmissionObstacle(const std::string& learner, AdmissionObstacle obstacle);
     bool removeAbsentMember();
     void removeMember(const std::string& name, const char* reason);
     bool hasQuorumWithout(const std::string& name) const;
@@ -134,6 +152,8 @@
     MonotonicTime m_lastLeaseholderContact;
     std::set<std::string> m_votes;
     std::set<std::string> m_requestedVotes;
+    // Reasons of the voters that rejected this election, by name.
+    std::map<std::string, std::string> m_voteRejections;
     // Sent with the vote requests of this election; see formerTerm().
     std::uint64_t m_formerTerm = 0;
     std::map<std::string, schema::DescribeResponse> m_descriptions;
@@ -142,6 +162,8 @@
     // Controllers that joined as learners, or were removed to become learners again, since this controller became leader;
     // by name.
     std::map<std::string, ReplicaPeer> m_joinedPeers;
+    // Last obstacle of each learner since this controller became leader, by name.
+    std::map<std::string, AdmissionObstacle> m_admissionObstacles;
     MonotonicTime m_leaderSince;
     // Index of the first entry of this leader's term.
     std::uint64_t m_termStartIndex = 0;
--- a/src/control/tests/replicatedlog.cpp
+++ b/src/control/tests/replicatedlog.cpp
@@ -459,3 +459,19 @@
     group.propose(*group.leader(), "accepted");
     CHECK(group.runUntil([&] { return std::all_of(group.replicas.begin(), group.replicas.end(), [](const auto& replica) { return hasApplied(replica->machine, "accepted"); }); }));
 }
+
+TEST(ReplicatedLog, RedundancyFallsWithEachVoterThatDoesNotRespond)
+{
+    ReplicaGroup group(5);
+    CHECK(group.runUntil([&] { return group.allReplicasAreMembers(); }));
+    const auto leader = *group.leader();
+    const auto reports = [&](const GroupRedundancy& expected) {
+        return group.runUntil([&] { return group.leader() == leader && group.replicas[leader]->log->redundancy() == expected; });
+    };
+    CHECK(reports({ .voters = 5, .responding = 5, .learners = 0, .tolerableLosses = 2 }));
+    group.kill((leader + 1) % 5);
+    CHECK(reports({ .voters = 5, .responding = 4, .learners = 0, .tolerableLosses = 1 }));
+    group.kill((leader + 2) % 5);
+    CHECK(reports({ .voters = 5, .responding = 3, .learners = 0, .tolerableLosses = 0 }));
+    CHECK_FALSE(group.replicas[(leader + 3) % 5]->log->redundancy().has_value());
+}
