--- a/src/control/internal/controllermodule.cpp
+++ b/src/control/internal/controllermodule.cpp
@@ -1,6 +1,7 @@
 #include "control/controllermodule.h"
 
 #include "control/internal/controller.h"
+#include "control/internal/discoveredgroupoptions.h"
 #include "control/internal/fleetservice.h"
 #include "control/internal/operatorservice.h"
 #include "control/internal/peerservice.h"
@@ -12,7 +13,6 @@
 #include "net/ilistener.h"
 #include "settings.pb.h"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
@@ -28,35 +28,6 @@
 // A snapshot is sent in a single message.
 constexpr int maximumMessageBytes = 256 << 20;
 
-// Five members tolerate the simultaneous loss of two, including their disks.
-constexpr int discoveredMaxMembers = 5;
-
-// After a restart of all VMs there is no service until a leader is elected, so a discovered group uses shorter election
-// timeouts than a group that the settings list. In such a deployment a round trip between zones takes 3 ms and a disk sync
-// 1 ms.
-constexpr auto discoveredHeartbeatInterval = std::chrono::milliseconds(100);
-constexpr auto discoveredMinElectionTimeout = std::chrono::milliseconds(350);
-constexpr auto discoveredMaxElectionTimeout = std::chrono::milliseconds(700);
-constexpr auto discoveredLeaseDuration = std::chrono::milliseconds(280);
-
-// Sets the options of a group whose members discover each other through seeds. Such controllers use their endpoint as name.
-// On the first start of the fleet the seeds bootstrap the group; every other controller joins an existing group.
-void setDiscoveredGroupOptions(ReplicatedLogOptions& options, const schema::DaemonSettings& settings, std::vector<std::string> seeds)
-{
-    options.name = options.endpoint;
-    options.maxMembers = discoveredMaxMembers;
-    options.heartbeatInterval = discoveredHeartbeatInterval;
-    options.minElectionTimeout = discoveredMinElectionTimeout;
-    options.maxElectionTimeout = discoveredMaxElectionTimeout;
-    options.leaseDuration = discoveredLeaseDuration;
-    std::sort(seeds.begin(), seeds.end());
-    options.mayBootstrap = settings.discovery().first_start() && std::binary_search(seeds.begin(), seeds.end(), options.endpoint);
-    if (!options.mayBootstrap)
-        return;
-    for (const auto& seed : seeds)
-        options.peers.push_back({ .name = seed, .endpoint = seed });
-}
-
 ReplicatedLogOptions replicatedLogOptions(const schema::DaemonSettings& settings, const ControllerModuleOptions& module)
 {
     const auto& controller = settings.controller();
@@ -64,7 +35,7 @@
     for (const auto& peer : controller.peers())
         options.peers.push_back({ .name = peer.name(), .endpoint = peer.endpoint() });
     if (module.seeds)
-        setDiscoveredGroupOptions(options, settings, module.seeds());
+        setDiscoveredGroupOptions(options, settings.discovery().first_start(), module.seeds());
     if (controller.snapshot_entries())
         options.snapshotEntries = controller.snapshot_entries();
     return options;
--- a/src/control/tests/discoveredgroup.h
+++ b/src/control/tests/discoveredgroup.h
@@ -1,26 +1,32 @@
 #pragma once
 
+#include "control/internal/discoveredgroupoptions.h"
 #include "tests/firststart.h"
 #include "tests/replicagroup.h"
 
+#include <map>
+
 // Group with discovery: the first three controllers bootstrap it at the fleet's first start, the others join.
 class DiscoveredGroup : public FirstStart, public ReplicaGroup {
 public:
-    static constexpr std::size_t seedCount = 3;
     static constexpr int memberCount = 5;
 
     explicit DiscoveredGroup(std::size_t count, std::uint64_t seed = 1)
-        : ReplicaGroup(count, seed, [this](std::size_t index, auto& options) { configure(index, options); })
+        : ReplicaGroup(count, seed, [this](std::size_t, auto& options) { configure(options); })
     {
     }
 
-    // Advances the time; controllers without a leader send a join request to all reachable ones, as GroupJoiner does.
+    // Advances the time; controllers without a leader send a join request to all reachable ones at intervals, as GroupJoiner
+    // does.
     void advanceAndJoin(clementinesill::Duration duration)
     {
         advance(duration);
         deliverAll();
         for (std::size_t from = 0; from < replicas.size(); ++from) {
-            if (!replicas[from]->log || replicas[from]->log->hasLeader())
+            if (!replicas[from]->log || m_nextJoinTimes[from] > clock.now())
+                continue;
+            m_nextJoinTimes[from] = clock.now() + joinInterval;
+            if (replicas[from]->log->hasLeader())
                 continue;
             clementinesill::schema::JoinRequest request;
             request.set_name(replicas[from]->name);
@@ -32,6 +38,20 @@
         }
     }
 
+    void runFor(clementinesill::Duration duration)
+    {
+        const auto end = clock.now() + duration;
+        while (clock.now() < end)
+            advanceAndJoin(std::chrono::milliseconds(20));
+    }
+
+    // Starts the replica; it sends its first join request after the interval.
+    void startAndJoin(std::size_t index)
+    {
+        start(index);
+        m_nextJoinTimes[index] = clock.now() + joinInterval;
+    }
+
     template <typename Condition>
     bool runAndJoinUntil(Condition condition)
     {
@@ -81,15 +101,24 @@
         return false;
     }
 
+    // Whether the replica's name votes in the leader's committed membership; true if there is no leader.
+    bool isVoter(std::size_t replica) const
+    {
+        const auto index = leader();
+        if (!index || replicas[*index]->log->entries().membershipIndex() > replicas[*index]->log->commitIndex())
+            return true;
+        const auto& members = replicas[*index]->log->entries().membership()->members();
+        return std::any_of(members.begin(), members.end(), [&](const auto& member) { return member.name() == replicas[replica]->name; });
+    }
+
 private:
-    void configure(std::size_t index, clementinesill::control::ReplicatedLogOptions& options) const
+    static constexpr auto joinInterval = std::chrono::milliseconds(1500);
+
+    std::map<std::size_t, clementinesill::MonotonicTime> m_nextJoinTimes;
+
+    void configure(clementinesill::control::ReplicatedLogOptions& options) const
     {
-        options.maxMembers = memberCount;
-        options.mayBootstrap = firstStart && index < seedCount;
         options.peers.clear();
-        for (std::size_t peer = 0; options.mayBootstrap && peer < seedCount; ++peer) {
-            const auto name = "control-" + std::to_string(peer + 1);
-            options.peers.push_back({ .name = name, .endpoint = name });
-        }
+        clementinesill::control::setDiscoveredGroupOptions(options, firstStart, { "control-1", "control-2", "control-3" });
     }
 };
--- a/src/control/tests/groupdiscovery.cpp
+++ b/src/control/tests/groupdiscovery.cpp
@@ -14,6 +14,53 @@
     return std::any_of(machine.applied.begin(), machine.applied.end(), [&](const auto& line) { return line.ends_with(" " + command); });
 }
 
+// A controller that was replaced by one at another address no longer counts as lost once the successor has run for this long
+// (catch_up_s of the users' deployments).
+constexpr auto catchUpTime = std::chrono::seconds(4);
+// Time within which the group must serve again after all controllers are back (recovery_s of the users' deployments).
+constexpr auto recoveryTime = std::chrono::seconds(12);
+
+// Five voters, and a controller that has not been started.
+class FiveVoters : public DiscoveredGroup {
+public:
+    static constexpr std::size_t successor = 3;
+
+    explicit FiveVoters(std::uint64_t seed)
+        : DiscoveredGroup(memberCount + 1, seed)
+    {
+        wipeDataFolder(successor);
+        const bool complete = runAndJoinUntil([&] { return membersAre({ 0, 1, 2, 4, 5 }); });
+        CHECK(complete);
+        firstStart = false;
+        // The first seed always bootstraps the group; after this any controller may lead.
+        const auto first = *leader();
+        kill(first);
+        CHECK(runAndJoinUntil([&] { return leader().has_value(); }));
+        startAndJoin(first);
+        runFor(std::chrono::seconds(2));
+    }
+
+    // A running voter that does not lead.
+    std::size_t randomFollower()
+    {
+        while (true) {
+            const auto index = random.below(replicas.size());
+            if (replicas[index]->log && leader() && *leader() != index && isVoter(index))
+                return index;
+        }
+    }
+
+    // The leader loses its disk and is back after the duration.
+    void wipeLeader(Duration duration)
+    {
+        CHECK(runAndJoinUntil([&] { return leader().has_value(); }));
+        const auto index = *leader();
+        wipeDataFolder(index);
+        runFor(duration);
+        startAndJoin(index);
+    }
+};
+
 } // namespace
 
 // clang-format off
@@ -139,6 +186,83 @@
     }));
 }
 
+// Issue 29: the last leader sent the log to a learner that it did not know, and kept the dead voter.
+TEST(GroupDiscovery, LearnerOfFormerLeaderReplacesDeadMember)
+{
+    CHECK(rc::check("the leader fails while a former voter is a learner", [](std::uint64_t seed) {
+        FiveVoters group(seed);
+        const auto dead = group.randomFollower();
+        group.kill(dead);
+        group.startAndJoin(FiveVoters::successor);
+        group.runFor(std::chrono::seconds(2));
+        // The successor takes the place of a voter whose disk is lost, and that voter becomes a learner of this leader.
+        const auto wiped = group.randomFollower();
+        group.wipeDataFolder(wiped);
+        group.startAndJoin(wiped);
+        group.runFor(std::chrono::milliseconds(300));
+        RC_PRE(group.leader() && group.isVoter(dead));
+        group.kill(*group.leader());
+        RC_ASSERT(group.runAndJoinUntil([&] { return !group.isVoter(dead); }));
+    }));
+}
+
+TEST(GroupDiscovery, DeadMemberIsReplacedWithinCatchUpTimeThoughLeaderChanges)
+{
+    CHECK(rc::check("the leader fails at any time after the successor has started", [](std::uint64_t seed) {
+        FiveVoters group(seed);
+        const auto dead = group.randomFollower();
+        group.kill(dead);
+        group.runFor(std::chrono::seconds(1));
+        group.startAndJoin(FiveVoters::successor);
+        const auto deadline = group.clock.now() + catchUpTime;
+        group.runFor(std::chrono::milliseconds(group.random.below(2500)));
+        RC_ASSERT(group.runAndJoinUntil([&] { return group.leader().has_value(); }));
+        const auto former = *group.leader();
+        group.kill(former);
+        while (group.clock.now() < deadline)
+            group.advanceAndJoin(std::chrono::milliseconds(20));
+        RC_ASSERT(group.leader().has_value());
+        RC_ASSERT(!group.isVoter(dead));
+        RC_ASSERT(group.isVoter(FiveVoters::successor));
+    }));
+}
+
+// Issue 29: a controller stops for good, and the next two leaders lose their disks.
+TEST(GroupDiscovery, GroupReturnsFromTwoLostDisksAfterControllersWereReplacedInSeries)
+{
+    CHECK(rc::check("two disks are lost and all controllers lose power", [](std::uint64_t seed) {
+        FiveVoters group(seed);
+        const auto dead = group.randomFollower();
+        group.kill(dead);
+        group.runFor(std::chrono::seconds(1));
+        group.startAndJoin(FiveVoters::successor);
+        group.runFor(std::chrono::seconds(2));
+        group.wipeLeader(std::chrono::milliseconds(2600));
+        group.runFor(std::chrono::milliseconds(2500 + group.random.below(700)));
+        group.wipeLeader(std::chrono::seconds(2));
+        group.runFor(std::chrono::milliseconds(4000 + group.random.below(1000)));
+        RC_ASSERT(group.runAndJoinUntil([&] { return group.commit("acknowledged"); }));
+        const auto first = group.randomFollower();
+        auto second = group.randomFollower();
+        while (second == first)
+            second = group.randomFollower();
+        group.wipeDataFolder(first);
+        group.wipeDataFolder(group.random.below(2) ? second : *group.leader());
+        for (std::size_t index = 0; index < 6; ++index)
+            group.kill(index);
+        group.runFor(std::chrono::seconds(1));
+        for (std::size_t index = 0; index < 6; ++index) {
+            if (index != dead)
+                group.startAndJoin(index);
+        }
+        const auto deadline = group.clock.now() + recoveryTime;
+        while (group.clock.now() < deadline && !group.leader())
+            group.advanceAndJoin(std::chrono::milliseconds(20));
+        RC_ASSERT(group.leader().has_value());
+        RC_ASSERT(hasApplied(group.replicas[*group.leader()]->machine, "acknowledged"));
+    }));
+}
+
 TEST(GroupDiscovery, DefaultLeaseDurationIsBelowElectionTimeout)
 {
     const ReplicatedLogOptions options;
--- a/src/control/tests/replicagroup.h
+++ b/src/control/tests/replicagroup.h
@@ -25,6 +25,9 @@
         RecordingMachine machine;
         // Null while the replica is down.
         std::unique_ptr<clementinesill::control::ReplicatedLog> log;
+        // Names of the peers to which the process has a link. A link exists until the process ends, also if the peer leaves the
+        // group.
+        std::set<std::string> links;
     };
 
     struct Message {
@@ -70,6 +73,7 @@
     {
         auto& replica = *replicas[index];
         replica.log.reset();
+        replica.links.clear();
         replica.files.restartAfterPowerLoss(random);
     }
 
@@ -114,9 +118,9 @@
                 if (to == from)
                     continue;
                 runOn(from, [&](auto& log) {
-                    const auto peers = log.peers();
-                    const bool isPeer = std::any_of(peers.begin(), peers.end(), [&](const auto& peer) { return peer.name == replicas[to]->name; });
-                    if (!isPeer)
+                    for (const auto& peer : log.peers())
+                        replicas[from]->links.insert(peer.name);
+                    if (!replicas[from]->links.contains(replicas[to]->name))
                         return;
                     const bool due = log.nextMessageTime(replicas[to]->name) <= clock.now();
                     auto message = log.nextMessage(replicas[to]->name);
