Keep a leader's learners known to the next leader

Cause: learners were known to one leader only. The next leader kept its links to former voters and sent them the log, so they heard a leader and did not ask to join, but it did not list them as learners. A voter that had stopped for good therefore kept its vote for as long as that leader led, and the loss of two more disks left 2 of 5 votes.

Change: each append names the leader's learners; followers keep the list, and a new leader sends the log to them from the start. A controller that is not in the group and not a learner is sent nothing, so it notices and joins. A learner that has not responded for 30 s is forgotten, which until now happened at each change of leader.

Why it works: a controller that hears a leader is now always one that this leader may admit.

--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -134,9 +134,8 @@
     m_role = ReplicaRole::Leader;
     m_leaderEndpoint = m_options.endpoint;
     m_leaderSince = m_clock.now();
-    m_joinedPeers.clear();
     m_admissionObstacles.clear();
-    m_replication.startTerm(m_log.lastIndex());
+    m_replication.startTerm(m_log.lastIndex(), m_clock.now());
     // Entries of earlier terms are committed only together with an entry of this term.
     appendEntry({}, false);
     m_termStartIndex = m_log.lastIndex();
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -19,10 +19,18 @@
     "the group is full",
 };
 
+void recordResponse(PeerProgress& progress, MonotonicTime sentAt)
+{
+    progress.acknowledgedSendTime = std::max(progress.acknowledgedSendTime, sentAt);
+    progress.lastResponse = std::max(progress.lastResponse, sentAt);
+}
+
 } // namespace
 
 std::optional<PeerMessage> ReplicatedLog::nextReplicationMessage(const std::string& peer)
 {
+    if (!isPeer(peer))
+        return std::nullopt;
     flushEntries();
     auto& progress = m_replication.peer(peer);
     const auto now = m_clock.now();
@@ -31,17 +39,29 @@
     progress.nextHeartbeat = now + m_options.heartbeatInterval;
     if (progress.nextIndex <= m_log.baseIndex() && m_log.baseIndex())
         return PeerMessage { .request = snapshotRequest(), .sentAt = now };
+    return PeerMessage { .request = appendRequest(progress.nextIndex), .sentAt = now };
+}
+
+schema::AppendRequest ReplicatedLog::appendRequest(std::uint64_t nextIndex) const
+{
     schema::AppendRequest request;
     request.set_term(m_vote.term());
     request.set_leader(m_options.name);
     request.set_leader_endpoint(m_options.endpoint);
-    request.set_previous_index(progress.nextIndex - 1);
-    request.set_previous_term(*m_log.termAt(progress.nextIndex - 1));
-    for (auto& entry : m_log.entriesFrom(progress.nextIndex, m_options.maxBatchBytes))
+    request.set_previous_index(nextIndex - 1);
+    request.set_previous_term(*m_log.termAt(nextIndex - 1));
+    for (auto& entry : m_log.entriesFrom(nextIndex, m_options.maxBatchBytes))
         request.mutable_entries()->Add(std::move(entry));
     request.set_commit_index(m_commitIndex);
     request.set_lease_live(hasValidLease());
-    return PeerMessage { .request = std::move(request), .sentAt = now };
+    for (const auto& [name, learner] : m_joinedPeers) {
+        if (member(name))
+            continue;
+        auto& contact = *request.add_learners();
+        contact.set_name(name);
+        contact.set_endpoint(learner.endpoint);
+    }
+    return request;
 }
 
 schema::SnapshotRequest ReplicatedLog::snapshotRequest() const
@@ -68,7 +88,7 @@
         recordAcknowledgement(peer, response.match_index(), message.sentAt);
         return;
     }
-    progress.acknowledgedSendTime = std::max(progress.acknowledgedSendTime, message.sentAt);
+    recordResponse(progress, message.sentAt);
     progress.nextIndex = std::min(request.previous_index(), response.match_index() + 1);
     progress.nextIndex = std::max<std::uint64_t>(progress.nextIndex, 1);
     progress.nextHeartbeat = m_clock.now();
@@ -89,7 +109,7 @@
     auto& progress = m_replication.peer(peer);
     progress.matchIndex = std::max(progress.matchIndex, matchIndex);
     progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
-    progress.acknowledgedSendTime = std::max(progress.acknowledgedSendTime, sentAt);
+    recordResponse(progress, sentAt);
     advanceCommit();
 }
 
@@ -129,6 +149,7 @@
 {
     if (!hasValidLease() || m_log.membershipIndex() > m_commitIndex)
         return;
+    forgetSilentLearners();
     for (const auto& peer : peers()) {
         if (updatePeerMembership(peer))
             return;
@@ -167,6 +188,12 @@
     return true;
 }
 
+void ReplicatedLog::forgetSilentLearners()
+{
+    const auto since = m_clock.now() - m_options.learnerAbsenceTimeout;
+    std::erase_if(m_joinedPeers, [&](const auto& entry) { return !member(entry.first) && m_replication.peer(entry.first).lastResponse < since; });
+}
+
 // A learner becomes a voting member once it holds all committed entries.
 ReplicatedLog::AdmissionObstacle ReplicatedLog::admissionObstacle(const std::string& learner) const
 {
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -120,6 +120,8 @@
         return nextTime == m_nextDescribeTimes.end() ? MonotonicTime::min() : nextTime->second;
     }
     if (m_role == ReplicaRole::Leader) {
+        if (!isPeer(peer))
+            return MonotonicTime::max();
         const auto& peers = m_replication.peers();
         const auto progress = peers.find(peer);
         const bool sentAll = progress != peers.end() && progress->second.nextIndex > m_log.lastIndex();
@@ -176,6 +178,9 @@
         return response;
     }
     followLeader(request.term(), request.leader_endpoint(), request.lease_live());
+    m_joinedPeers.clear();
+    for (const auto& learner : request.learners())
+        m_joinedPeers[learner.name()] = { .name = learner.name(), .endpoint = learner.endpoint() };
     response.set_term(m_vote.term());
     const auto previousIndex = request.previous_index();
     const auto localTerm = m_log.termAt(previousIndex);
@@ -290,6 +295,12 @@
     return peers;
 }
 
+bool ReplicatedLog::isPeer(const std::string& name) const
+{
+    const auto& listed = m_options.peers;
+    return member(name) || m_joinedPeers.contains(name) || std::any_of(listed.begin(), listed.end(), [&](const auto& peer) { return peer.name == name; });
+}
+
 schema::JoinResponse ReplicatedLog::onJoin(const schema::JoinRequest& request)
 {
     schema::JoinResponse response;
@@ -297,6 +308,7 @@
     if (!hasValidLease())
         return response;
     m_joinedPeers[request.name()] = { .name = request.name(), .endpoint = request.endpoint() };
+    m_replication.peer(request.name()).lastResponse = m_clock.now();
     response.set_accepted(true);
     return response;
 }
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -87,6 +87,8 @@
 
     // Elections.
     bool isMember() const;
+    // Whether peers() contains the controller.
+    bool isPeer(const std::string& name) const;
     const schema::Member* member(const std::string& name) const;
     void saveVote(std::uint64_t term, const std::string& votedFor);
     void adoptTerm(std::uint64_t term);
@@ -111,6 +113,7 @@
 
     // Replication.
     std::optional<PeerMessage> nextReplicationMessage(const std::string& peer);
+    schema::AppendRequest appendRequest(std::uint64_t nextIndex) const;
     schema::SnapshotRequest snapshotRequest() const;
     void onAppendResponse(const std::string& peer, const PeerMessage& message, const schema::AppendResponse& response);
     void onSnapshotResponse(const std::string& peer, const PeerMessage& message, const schema::SnapshotResponse& response);
@@ -127,6 +130,7 @@
     void updateMembership();
     bool updatePeerMembership(const ReplicaPeer& peer);
     AdmissionObstacle admissionObstacle(const std::string& learner) const;
+    void forgetSilentLearners();
     void recordAdmissionObstacle(const std::string& learner, AdmissionObstacle obstacle);
     bool removeAbsentMember();
     void removeMember(const std::string& name, const char* reason);
@@ -159,8 +163,8 @@
     std::map<std::string, schema::DescribeResponse> m_descriptions;
     std::map<std::string, MonotonicTime> m_nextDescribeTimes;
     Replication m_replication;
-    // Controllers that joined as learners, or were removed to become learners again, since this controller became leader;
-    // by name.
+    // Controllers that joined as learners, or were removed to become learners again, by name; some are members again. On a
+    // follower, the learners that the leader reported.
     std::map<std::string, ReplicaPeer> m_joinedPeers;
     // Last obstacle of each learner since this controller became leader, by name.
     std::map<std::string, AdmissionObstacle> m_admissionObstacles;
--- a/src/control/tests/groupdiscovery.cpp
+++ b/src/control/tests/groupdiscovery.cpp
@@ -201,7 +201,10 @@
         group.startAndJoin(wiped);
         group.runFor(std::chrono::milliseconds(300));
         RC_PRE(group.leader() && group.isVoter(dead));
-        group.kill(*group.leader());
+        const auto former = *group.leader();
+        group.kill(former);
+        RC_ASSERT(group.runAndJoinUntil([&] { return group.leader().has_value(); }));
+        group.startAndJoin(former);
         RC_ASSERT(group.runAndJoinUntil([&] { return !group.isVoter(dead); }));
     }));
 }
--- a/src/control/types/replicatedlogoptions.h
+++ b/src/control/types/replicatedlogoptions.h
@@ -23,6 +23,8 @@
     int maxMembers = 7;
     // A member that has not responded for this long is replaced if a learner is waiting for a place.
     Duration memberAbsenceTimeout = std::chrono::seconds(5);
+    // A learner that has not responded for this long is no longer sent the log; it has to join again.
+    Duration learnerAbsenceTimeout = std::chrono::seconds(30);
     Duration heartbeatInterval = std::chrono::milliseconds(150);
     // A follower that hears from no leader starts an election after a random time within these bounds. It grants no vote
     // within the minimum after it heard from a leader.
