Let a voter's absence continue when the leader changes

Cause: each leader measured the absence of a voter from its own election, and replaced it after 5 s only. The users count a replaced VM as lost until its successor has run for 4 s, so 5 s was too late even without a change of leader. Class of fault: a deadline of the group kept in the memory of one leader.

Change: each append names the voters that do not respond and for how long. Followers keep the report (AbsenceTracker), so the next leader continues the absence; it replaces a voter once it has led for the longest election timeout, in which every reachable controller can respond to it. Of several absent voters it replaces the one that is absent for longest. Discovered groups use 1.5 s instead of 5 s.

Why it works: the time of an absence no longer depends on who leads, so it ends within the 4 s also if the leader fails meanwhile.

LearnerOfFormerLeaderReplacesDeadMember: its schedule no longer arose, since the dead voter was replaced before; the voter now fails right before the leader.

--- a/src/control/internal/discoveredgroupoptions.cpp
+++ b/src/control/internal/discoveredgroupoptions.cpp
@@ -19,6 +19,9 @@
 constexpr auto discoveredMinElectionTimeout = std::chrono::milliseconds(350);
 constexpr auto discoveredMaxElectionTimeout = std::chrono::milliseconds(700);
 constexpr auto discoveredLeaseDuration = std::chrono::milliseconds(280);
+// VMs are replaced by others at new endpoints, and a replaced one no longer counts as lost 4 s after its successor has started:
+// by then the successor votes in its place, also if the leader changes once. A process that is restarted is back sooner.
+constexpr auto discoveredMemberAbsenceTimeout = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -30,6 +33,7 @@
     options.minElectionTimeout = discoveredMinElectionTimeout;
     options.maxElectionTimeout = discoveredMaxElectionTimeout;
     options.leaseDuration = discoveredLeaseDuration;
+    options.memberAbsenceTimeout = discoveredMemberAbsenceTimeout;
     std::sort(seeds.begin(), seeds.end());
     options.mayBootstrap = firstStart && std::binary_search(seeds.begin(), seeds.end(), options.endpoint);
     if (!options.mayBootstrap)
--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -135,7 +135,7 @@
     m_leaderEndpoint = m_options.endpoint;
     m_leaderSince = m_clock.now();
     m_admissionObstacles.clear();
-    m_replication.startTerm(m_log.lastIndex(), m_clock.now());
+    m_replication.startTerm(m_log.lastIndex());
     // Entries of earlier terms are committed only together with an entry of this term.
     appendEntry({}, false);
     m_termStartIndex = m_log.lastIndex();
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -19,12 +19,6 @@
     "the group is full",
 };
 
-void recordResponse(PeerProgress& progress, MonotonicTime sentAt)
-{
-    progress.acknowledgedSendTime = std::max(progress.acknowledgedSendTime, sentAt);
-    progress.lastResponse = std::max(progress.lastResponse, sentAt);
-}
-
 } // namespace
 
 std::optional<PeerMessage> ReplicatedLog::nextReplicationMessage(const std::string& peer)
@@ -55,15 +49,27 @@
     request.set_commit_index(m_commitIndex);
     request.set_lease_live(hasValidLease());
     for (const auto& [name, learner] : m_joinedPeers) {
-        if (member(name))
-            continue;
-        auto& contact = *request.add_learners();
-        contact.set_name(name);
-        contact.set_endpoint(learner.endpoint);
+        if (!member(name))
+            *request.add_learners() = contact(name, learner.endpoint);
+    }
+    const auto since = m_clock.now() - m_options.minElectionTimeout;
+    for (const auto& member : m_log.membership()->members()) {
+        if (member.name() != m_options.name && m_absences.lastResponse(member.name()) < since)
+            *request.add_silent_members() = contact(member.name(), member.endpoint());
     }
     return request;
 }
 
+schema::ControllerContact ReplicatedLog::contact(const std::string& name, const std::string& endpoint) const
+{
+    const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_absences.lastResponse(name));
+    schema::ControllerContact contact;
+    contact.set_name(name);
+    contact.set_endpoint(endpoint);
+    contact.set_silent_ms(static_cast<std::uint64_t>(std::max<std::chrono::milliseconds::rep>(silence.count(), 0)));
+    return contact;
+}
+
 schema::SnapshotRequest ReplicatedLog::snapshotRequest() const
 {
     schema::SnapshotRequest request;
@@ -88,7 +94,8 @@
         recordAcknowledgement(peer, response.match_index(), message.sentAt);
         return;
     }
-    recordResponse(progress, message.sentAt);
+    progress.acknowledgedSendTime = std::max(progress.acknowledgedSendTime, message.sentAt);
+    m_absences.recordResponse(peer, message.sentAt);
     progress.nextIndex = std::min(request.previous_index(), response.match_index() + 1);
     progress.nextIndex = std::max<std::uint64_t>(progress.nextIndex, 1);
     progress.nextHeartbeat = m_clock.now();
@@ -109,7 +116,8 @@
     auto& progress = m_replication.peer(peer);
     progress.matchIndex = std::max(progress.matchIndex, matchIndex);
     progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
-    recordResponse(progress, sentAt);
+    progress.acknowledgedSendTime = std::max(progress.acknowledgedSendTime, sentAt);
+    m_absences.recordResponse(peer, sentAt);
     advanceCommit();
 }
 
@@ -191,7 +199,7 @@
 void ReplicatedLog::forgetSilentLearners()
 {
     const auto since = m_clock.now() - m_options.learnerAbsenceTimeout;
-    std::erase_if(m_joinedPeers, [&](const auto& entry) { return !member(entry.first) && m_replication.peer(entry.first).lastResponse < since; });
+    std::erase_if(m_joinedPeers, [&](const auto& entry) { return !member(entry.first) && m_absences.lastResponse(entry.first) < since; });
 }
 
 // A learner becomes a voting member once it holds all committed entries.
@@ -214,20 +222,31 @@
     log(LogLevel::Info, "learner_waiting", { { .key = "learner", .value = learner }, { .key = logkey::reason, .value = admissionObstacles.at(static_cast<std::size_t>(obstacle)) }, { .key = "match_index", .value = std::to_string(progress.matchIndex) }, { .key = "commit_index", .value = std::to_string(m_commitIndex) } });
 }
 
+const schema::Member* ReplicatedLog::absentMember() const
+{
+    // Every controller that is reachable has had time to respond to this leader.
+    if (m_leaderSince + m_options.maxElectionTimeout > m_clock.now())
+        return nullptr;
+    const schema::Member* absent = nullptr;
+    auto oldest = m_clock.now() - m_options.memberAbsenceTimeout;
+    for (const auto& member : m_log.membership()->members()) {
+        if (member.name() == m_options.name || m_absences.lastResponse(member.name()) > oldest)
+            continue;
+        oldest = m_absences.lastResponse(member.name());
+        absent = &member;
+    }
+    return absent;
+}
+
 // Removes a member that is absent from a full group, so that a waiting learner can take its place. The removed member may
 // return later as a learner.
 bool ReplicatedLog::removeAbsentMember()
 {
-    const auto since = m_clock.now() - m_options.memberAbsenceTimeout;
-    if (m_leaderSince > since)
+    const auto* absent = absentMember();
+    if (!absent || !hasQuorumWithout(absent->name()))
         return false;
-    for (const auto& member : m_log.membership()->members()) {
-        if (m_replication.isActiveSince(member, since) || !hasQuorumWithout(member.name()))
-            continue;
-        removeMember(member.name(), "it has not responded for too long and a learner is waiting for its place");
-        return true;
-    }
-    return false;
+    removeMember(absent->name(), "it has not responded for too long and a learner is waiting for its place");
+    return true;
 }
 
 void ReplicatedLog::removeMember(const std::string& name, const char* reason)
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -30,6 +30,7 @@
     // The last contact with a leader is not stored, so a restarted controller waits as if it had just heard from one.
     , m_lastLeaderContact(clock.now())
     , m_replication({}, 0)
+    , m_absences(clock.now())
 {
     auto stored = storage.open();
     m_diskIdentity = stored.diskIdentity;
@@ -178,9 +179,7 @@
         return response;
     }
     followLeader(request.term(), request.leader_endpoint(), request.lease_live());
-    m_joinedPeers.clear();
-    for (const auto& learner : request.learners())
-        m_joinedPeers[learner.name()] = { .name = learner.name(), .endpoint = learner.endpoint() };
+    adoptContacts(request);
     response.set_term(m_vote.term());
     const auto previousIndex = request.previous_index();
     const auto localTerm = m_log.termAt(previousIndex);
@@ -202,6 +201,19 @@
     return response;
 }
 
+void ReplicatedLog::adoptContacts(const schema::AppendRequest& request)
+{
+    const auto now = m_clock.now();
+    m_absences.startReport(now);
+    for (const auto& silent : request.silent_members())
+        m_absences.reportSilence(silent.name(), std::chrono::milliseconds(silent.silent_ms()), now);
+    m_joinedPeers.clear();
+    for (const auto& learner : request.learners()) {
+        m_joinedPeers[learner.name()] = { .name = learner.name(), .endpoint = learner.endpoint() };
+        m_absences.reportSilence(learner.name(), std::chrono::milliseconds(learner.silent_ms()), now);
+    }
+}
+
 schema::SnapshotResponse ReplicatedLog::onSnapshot(const schema::SnapshotRequest& request)
 {
     schema::SnapshotResponse response;
@@ -308,7 +320,7 @@
     if (!hasValidLease())
         return response;
     m_joinedPeers[request.name()] = { .name = request.name(), .endpoint = request.endpoint() };
-    m_replication.peer(request.name()).lastResponse = m_clock.now();
+    m_absences.recordResponse(request.name(), m_clock.now());
     response.set_accepted(true);
     return response;
 }
--- a/src/control/internal/replication.cpp
+++ b/src/control/internal/replication.cpp
@@ -20,16 +20,15 @@
 
 } // namespace
 
-void Replication::startTerm(std::uint64_t lastIndex, MonotonicTime now)
+void Replication::startTerm(std::uint64_t lastIndex)
 {
     m_peers.clear();
-    m_termStart = now;
     m_initialNextIndex = lastIndex + 1;
 }
 
 PeerProgress& Replication::peer(const std::string& name)
 {
-    return m_peers.try_emplace(name, PeerProgress { .nextIndex = m_initialNextIndex, .lastResponse = m_termStart }).first->second;
+    return m_peers.try_emplace(name, PeerProgress { .nextIndex = m_initialNextIndex }).first->second;
 }
 
 void Replication::updateDiskIdentity(const std::string& name, std::uint64_t diskIdentity)
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/absencetracker.h"
 #include "control/entrylog.h"
 #include "control/ireplicatedlog.h"
 #include "control/replication.h"
@@ -114,10 +115,13 @@
     // Replication.
     std::optional<PeerMessage> nextReplicationMessage(const std::string& peer);
     schema::AppendRequest appendRequest(std::uint64_t nextIndex) const;
+    schema::ControllerContact contact(const std::string& name, const std::string& endpoint) const;
     schema::SnapshotRequest snapshotRequest() const;
     void onAppendResponse(const std::string& peer, const PeerMessage& message, const schema::AppendResponse& response);
     void onSnapshotResponse(const std::string& peer, const PeerMessage& message, const schema::SnapshotResponse& response);
     void recordAcknowledgement(const std::string& peer, std::uint64_t matchIndex, MonotonicTime sentAt);
+    // Takes over the learners and absences that the leader reports.
+    void adoptContacts(const schema::AppendRequest& request);
     void followLeader(std::uint64_t term, const std::string& endpoint, bool leaderHasLease);
     void advanceCommit();
     MonotonicTime leaseExpiry() const;
@@ -132,6 +136,8 @@
     AdmissionObstacle admissionObstacle(const std::string& learner) const;
     void forgetSilentLearners();
     void recordAdmissionObstacle(const std::string& learner, AdmissionObstacle obstacle);
+    // The member that has been absent for longest, if that is longer than the absence timeout; null if there is none.
+    const schema::Member* absentMember() const;
     bool removeAbsentMember();
     void removeMember(const std::string& name, const char* reason);
     bool hasQuorumWithout(const std::string& name) const;
@@ -166,6 +172,7 @@
     // Controllers that joined as learners, or were removed to become learners again, by name; some are members again. On a
     // follower, the learners that the leader reported.
     std::map<std::string, ReplicaPeer> m_joinedPeers;
+    AbsenceTracker m_absences;
     // Last obstacle of each learner since this controller became leader, by name.
     std::map<std::string, AdmissionObstacle> m_admissionObstacles;
     MonotonicTime m_leaderSince;
--- a/src/control/replication.h
+++ b/src/control/replication.h
@@ -20,7 +20,7 @@
     }
 
     // Resets the progress of all peers for a new term.
-    void startTerm(std::uint64_t lastIndex, MonotonicTime now);
+    void startTerm(std::uint64_t lastIndex);
 
     PeerProgress& peer(const std::string& name);
     const std::map<std::string, PeerProgress>& peers() const { return m_peers; }
@@ -46,7 +46,6 @@
     std::string m_self;
     std::uint64_t m_diskIdentity;
     std::uint64_t m_initialNextIndex = 1;
-    MonotonicTime m_termStart;
     std::map<std::string, PeerProgress> m_peers;
 };
 
--- a/src/control/types/peerprogress.h
+++ b/src/control/types/peerprogress.h
@@ -15,8 +15,6 @@
     std::uint64_t matchIndex = 0;
     // When the newest acknowledged message was sent.
     MonotonicTime acknowledgedSendTime;
-    // When the peer last responded; before its first response, when the leader's term began.
-    MonotonicTime lastResponse;
     MonotonicTime nextHeartbeat;
 };
 
