Admit the replacement of an absent voter before removing the voter

Cause: the absent voter was removed first, so the group had four voters until the learner was admitted, some 10 ms. A voter that is only down returns with its disk, and with it three of five voters are left after the loss of two disks; of four voters only two are. Same class of fault: a replacement decided on one moment's view of the group.

ReplicatedLog.RandomFailuresLoseNoCommittedEntryWhileMembersAreReplaced is new: the random schedules of failures, with learners that replace absent voters.

Change: the learner is admitted as one voter more than the usual number, then the absent voter is removed. If it has returned meanwhile, the newest voter becomes a learner again. Both steps still change one voter at a time after the previous change is committed.

Why it works: with six voters four are a majority, and the absent voter's disk counts until its replacement is committed. A majority of the old voters and the learner always suffices to commit the admission.

--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -158,6 +158,8 @@
     if (!hasValidLease() || m_log.membershipIndex() > m_commitIndex)
         return;
     forgetSilentLearners();
+    if (m_log.membership()->members_size() > m_options.maxMembers && removeSurplusMember())
+        return;
     for (const auto& peer : peers()) {
         if (updatePeerMembership(peer))
             return;
@@ -183,8 +185,6 @@
     }
     const auto obstacle = admissionObstacle(peer.name);
     recordAdmissionObstacle(peer.name, obstacle);
-    if (obstacle == AdmissionObstacle::GroupFull)
-        return removeAbsentMember();
     if (obstacle != AdmissionObstacle::None)
         return false;
     auto& added = *membership.add_members();
@@ -202,7 +202,8 @@
     std::erase_if(m_joinedPeers, [&](const auto& entry) { return !member(entry.first) && m_absences.lastResponse(entry.first) < since; });
 }
 
-// A learner becomes a voting member once it holds all committed entries.
+// A learner becomes a voting member once it holds all committed entries. It is admitted to a full group before the absent
+// member is removed: the absent one may return with its disk, which counts until then.
 ReplicatedLog::AdmissionObstacle ReplicatedLog::admissionObstacle(const std::string& learner) const
 {
     const auto& progress = m_replication.peers().at(learner);
@@ -210,7 +211,9 @@
         return AdmissionObstacle::NotResponding;
     if (progress.matchIndex < m_commitIndex)
         return AdmissionObstacle::LogBehind;
-    return m_log.membership()->members_size() < m_options.maxMembers ? AdmissionObstacle::None : AdmissionObstacle::GroupFull;
+    const int members = m_log.membership()->members_size();
+    const bool hasPlace = members < m_options.maxMembers || (members == m_options.maxMembers && absentMember());
+    return hasPlace ? AdmissionObstacle::None : AdmissionObstacle::GroupFull;
 }
 
 // Logs the obstacle if it has changed.
@@ -238,14 +241,19 @@
     return absent;
 }
 
-// Removes a member that is absent from a full group, so that a waiting learner can take its place. The removed member may
-// return later as a learner.
-bool ReplicatedLog::removeAbsentMember()
+// Removes the absent member that a learner has replaced. If it has returned meanwhile, the newest member becomes a learner
+// again, since a group of odd size keeps a majority when it is cut in two.
+bool ReplicatedLog::removeSurplusMember()
 {
+    const auto& members = m_log.membership()->members();
     const auto* absent = absentMember();
-    if (!absent || !hasQuorumWithout(absent->name()))
+    const auto newest = std::find_if(members.rbegin(), members.rend(), [&](const auto& member) { return member.name() != m_options.name; });
+    const auto& surplus = absent ? *absent : *newest;
+    if (!hasQuorumWithout(surplus.name()))
         return false;
-    removeMember(absent->name(), "it has not responded for too long and a learner is waiting for its place");
+    if (!absent)
+        m_joinedPeers[surplus.name()] = { .name = surplus.name(), .endpoint = surplus.endpoint() };
+    removeMember(surplus.name(), absent ? "it has not responded for too long and a learner has taken its place" : "the group has more members than necessary");
     return true;
 }
 
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -138,7 +138,7 @@
     void recordAdmissionObstacle(const std::string& learner, AdmissionObstacle obstacle);
     // The member that has been absent for longest, if that is longer than the absence timeout; null if there is none.
     const schema::Member* absentMember() const;
-    bool removeAbsentMember();
+    bool removeSurplusMember();
     void removeMember(const std::string& name, const char* reason);
     bool hasQuorumWithout(const std::string& name) const;
     void proposeMembership(const schema::Membership& membership);
--- a/src/control/tests/groupdiscovery.cpp
+++ b/src/control/tests/groupdiscovery.cpp
@@ -50,6 +50,34 @@
         }
     }
 
+    // Two voters, among them perhaps the leader, lose their disks, and all controllers lose power for a second. Those that
+    // have stopped for good do not return.
+    void loseTwoDisksAndAllPower(const std::set<std::size_t>& stopped = {})
+    {
+        const auto first = randomFollower();
+        auto second = random.below(2) ? *leader() : randomFollower();
+        while (second == first)
+            second = randomFollower();
+        wipeDataFolder(first);
+        wipeDataFolder(second);
+        for (std::size_t index = 0; index < replicas.size(); ++index)
+            kill(index);
+        runFor(std::chrono::seconds(1));
+        for (std::size_t index = 0; index < replicas.size(); ++index) {
+            if (!stopped.contains(index))
+                startAndJoin(index);
+        }
+    }
+
+    // Whether a leader is elected within the time.
+    bool returnsWithin(Duration time)
+    {
+        const auto deadline = clock.now() + time;
+        while (clock.now() < deadline && !leader())
+            advanceAndJoin(std::chrono::milliseconds(20));
+        return leader().has_value();
+    }
+
     // The leader loses its disk and is back after the duration.
     void wipeLeader(Duration duration)
     {
@@ -231,6 +259,28 @@
     }));
 }
 
+// While a voter is only down, its disk counts: with those of two others it must still hold a majority.
+TEST(GroupDiscovery, GroupReturnsFromTwoLostDisksWhileAbsentMemberIsReplaced)
+{
+    CHECK(rc::check("two disks are lost after any change of the members", [](std::uint64_t seed) {
+        FiveVoters group(seed);
+        group.startAndJoin(FiveVoters::successor);
+        group.runFor(std::chrono::seconds(2));
+        const auto absent = group.randomFollower();
+        group.kill(absent);
+        RC_ASSERT(group.runAndJoinUntil([&] { return group.commit("acknowledged"); }));
+        const auto changes = group.random.below(3);
+        for (std::uint64_t change = 0; change <= changes && group.isVoter(absent); ++change) {
+            const auto& entries = group.replicas[*group.leader()]->log->entries();
+            const auto index = entries.membershipIndex();
+            RC_ASSERT(group.runAndJoinUntil([&] { return entries.membershipIndex() != index; }));
+        }
+        group.loseTwoDisksAndAllPower();
+        RC_ASSERT(group.returnsWithin(recoveryTime));
+        RC_ASSERT(hasApplied(group.replicas[*group.leader()]->machine, "acknowledged"));
+    }));
+}
+
 // Issue 29: a controller stops for good, and the next two leaders lose their disks.
 TEST(GroupDiscovery, GroupReturnsFromTwoLostDisksAfterControllersWereReplacedInSeries)
 {
@@ -246,23 +296,8 @@
         group.wipeLeader(std::chrono::seconds(2));
         group.runFor(std::chrono::milliseconds(4000 + group.random.below(1000)));
         RC_ASSERT(group.runAndJoinUntil([&] { return group.commit("acknowledged"); }));
-        const auto first = group.randomFollower();
-        auto second = group.randomFollower();
-        while (second == first)
-            second = group.randomFollower();
-        group.wipeDataFolder(first);
-        group.wipeDataFolder(group.random.below(2) ? second : *group.leader());
-        for (std::size_t index = 0; index < 6; ++index)
-            group.kill(index);
-        group.runFor(std::chrono::seconds(1));
-        for (std::size_t index = 0; index < 6; ++index) {
-            if (index != dead)
-                group.startAndJoin(index);
-        }
-        const auto deadline = group.clock.now() + recoveryTime;
-        while (group.clock.now() < deadline && !group.leader())
-            group.advanceAndJoin(std::chrono::milliseconds(20));
-        RC_ASSERT(group.leader().has_value());
+        group.loseTwoDisksAndAllPower({ dead });
+        RC_ASSERT(group.returnsWithin(recoveryTime));
         RC_ASSERT(hasApplied(group.replicas[*group.leader()]->machine, "acknowledged"));
     }));
 }
--- a/src/control/tests/replicatedlog.cpp
+++ b/src/control/tests/replicatedlog.cpp
@@ -20,8 +20,10 @@
 // Runs a schedule of random failures and checks the invariants after every step.
 class RandomSchedule {
 public:
-    RandomSchedule(std::size_t count, std::uint64_t seed)
-        : m_group(count, seed)
+    // Replicas beyond maxMembers are learners that replace absent members.
+    RandomSchedule(std::size_t count, std::uint64_t seed, int maxMembers)
+        : m_group(count, seed, [maxMembers](std::size_t, auto& options) { options.maxMembers = maxMembers; options.memberAbsenceTimeout = std::chrono::milliseconds(1500); })
+        , m_hasLearners(static_cast<int>(count) > maxMembers)
     {
         m_group.maxBatchBytes = seed % 2 ? 1 : m_group.maxBatchBytes;
     }
@@ -43,7 +45,7 @@
             m_group.replicas[index]->files.full = false;
             m_group.start(index);
         }
-        RC_ASSERT(m_group.runUntil([&] { return m_group.allReplicasAreMembers() && statesMatch(); }));
+        RC_ASSERT(m_group.runUntil([&] { return (m_hasLearners ? m_group.leader().has_value() : m_group.allReplicasAreMembers()) && statesMatch(); }));
         checkInvariants();
         const auto& applied = m_group.replicas.front()->machine.applied;
         for (const auto& [index, line] : m_appliedByIndex)
@@ -138,6 +140,7 @@
     }
 
     ReplicaGroup m_group;
+    bool m_hasLearners;
     int m_changes = 0;
     std::map<std::uint64_t, std::string> m_leaders;
     // Every command applied by any state machine, by index.
@@ -153,7 +156,16 @@
 TEST(ReplicatedLog, RandomFailuresLoseNoCommittedEntry)
 {
     CHECK(rc::check("crashes, power losses, partitions, dropped messages, lost data folders and full disks", [](std::uint64_t seed) {
-        RandomSchedule schedule(seed % 3 == 0 ? 5 : 3, seed);
+        RandomSchedule schedule(seed % 3 == 0 ? 5 : 3, seed, 7);
+        schedule.run(4000);
+        schedule.heal();
+    }));
+}
+
+TEST(ReplicatedLog, RandomFailuresLoseNoCommittedEntryWhileMembersAreReplaced)
+{
+    CHECK(rc::check("crashes, power losses, partitions, dropped messages and full disks", [](std::uint64_t seed) {
+        RandomSchedule schedule(seed % 2 ? 6 : 4, seed, seed % 2 ? 5 : 3);
         schedule.run(4000);
         schedule.heal();
     }));
--- a/src/control/types/replicatedlogoptions.h
+++ b/src/control/types/replicatedlogoptions.h
@@ -19,7 +19,8 @@
     std::vector<ReplicaPeer> peers;
     // Whether this controller may bootstrap the group if its data folder is empty.
     bool mayBootstrap = true;
-    // Maximum number of voting members. Further controllers are learners, which replace members that are lost.
+    // Maximum number of voting members, exceeded by one while a member is replaced. Further controllers are learners, which
+    // replace members that are lost.
     int maxMembers = 7;
     // A member that has not responded for this long is replaced if a learner is waiting for a place.
     Duration memberAbsenceTimeout = std::chrono::seconds(5);
