Keep a silent voter of an enlarged group until all voters respond

What callers would see: a voter that stopped for good keeps its vote beyond the 4 s after which it no longer counts as lost, and two lost disks end the group (CONFIG, RECOVER).

Cause: while a voter is replaced the group has six voters. If the leader failed in between, the next leader did not know yet which voter was absent and made the newest one a learner. That was the failed leader; the dead voter stayed.

Change: without an absent voter the newest one is made a learner only if all respond.

--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -241,19 +241,23 @@
     return absent;
 }
 
-// Removes the absent member that a learner has replaced. If it has returned meanwhile, the newest member becomes a learner
-// again, since a group of odd size keeps a majority when it is cut in two.
+// Removes the absent member that a learner has replaced. If all members respond, because it has returned meanwhile, the newest
+// one becomes a learner again: a group of odd size keeps a majority when it is cut in two.
 bool ReplicatedLog::removeSurplusMember()
 {
+    if (const auto* absent = absentMember()) {
+        if (!hasQuorumWithout(absent->name()))
+            return false;
+        removeMember(absent->name(), "it has not responded for too long and a learner has taken its place");
+        return true;
+    }
     const auto& members = m_log.membership()->members();
-    const auto* absent = absentMember();
-    const auto newest = std::find_if(members.rbegin(), members.rend(), [&](const auto& member) { return member.name() != m_options.name; });
-    const auto& surplus = absent ? *absent : *newest;
-    if (!hasQuorumWithout(surplus.name()))
+    const auto since = m_clock.now() - m_options.minElectionTimeout;
+    if (!std::all_of(members.begin(), members.end(), [&](const auto& member) { return m_replication.isActiveSince(member, since); }))
         return false;
-    if (!absent)
-        m_joinedPeers[surplus.name()] = { .name = surplus.name(), .endpoint = surplus.endpoint() };
-    removeMember(surplus.name(), absent ? "it has not responded for too long and a learner has taken its place" : "the group has more members than necessary");
+    const auto& newest = *std::find_if(members.rbegin(), members.rend(), [&](const auto& member) { return member.name() != m_options.name; });
+    m_joinedPeers[newest.name()] = { .name = newest.name(), .endpoint = newest.endpoint() };
+    removeMember(newest.name(), "the group has more members than necessary");
     return true;
 }
 
