--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -90,6 +90,7 @@
         return;
     m_replication.updateDiskIdentity(peer, response.disk_identity());
     auto& progress = m_replication.peer(peer);
+    progress.caughtUp = response.success() && response.match_index() >= request.commit_index();
     if (response.success()) {
         recordAcknowledgement(peer, response.match_index(), message.sentAt);
         return;
@@ -209,7 +210,7 @@
     const auto& progress = m_replication.peers().at(learner);
     if (progress.acknowledgedSendTime + m_options.minElectionTimeout <= m_clock.now())
         return AdmissionObstacle::NotResponding;
-    if (progress.matchIndex < m_commitIndex)
+    if (!progress.caughtUp)
         return AdmissionObstacle::LogBehind;
     const int members = m_log.membership()->members_size();
     const bool hasPlace = members < m_options.maxMembers || (members == m_options.maxMembers && absentMember());
@@ -241,19 +242,23 @@
     return absent;
 }
 
-// Removes the absent member that a learner has replaced. If it has returned meanwhile, the newest member becomes a learner
-// again, since a group of odd size keeps a majority when it is cut in two.
+// Removes the absent member that a learner has replaced. If all members respond, because it has returned meanwhile, the newest
+// one becomes a learner again: a group of odd size keeps a majority when it is cut in two.
 bool ReplicatedLog::removeSurplusMember()
 {
+    if (const auto* absent = absentMember()) {
+        if (!hasQuorumWithout(absent->name()))
+            return false;
+        removeMember(absent->name(), "it has not responded for too long and a learner has taken its place");
+        return true;
+    }
     const auto& members = m_log.membership()->members();
-    const auto* absent = absentMember();
-    const auto newest = std::find_if(members.rbegin(), members.rend(), [&](const auto& member) { return member.name() != m_options.name; });
-    const auto& surplus = absent ? *absent : *newest;
-    if (!hasQuorumWithout(surplus.name()))
+    const auto since = m_clock.now() - m_options.minElectionTimeout;
+    if (!std::all_of(members.begin(), members.end(), [&](const auto& member) { return m_replication.isActiveSince(member, since); }))
         return false;
-    if (!absent)
-        m_joinedPeers[surplus.name()] = { .name = surplus.name(), .endpoint = surplus.endpoint() };
-    removeMember(surplus.name(), absent ? "it has not responded for too long and a learner has taken its place" : "the group has more members than necessary");
+    const auto& newest = *std::find_if(members.rbegin(), members.rend(), [&](const auto& member) { return member.name() != m_options.name; });
+    m_joinedPeers[newest.name()] = { .name = newest.name(), .endpoint = newest.endpoint() };
+    removeMember(newest.name(), "the group has more members than necessary");
     return true;
 }
 
