Test that the group returns from any losses within the users' tolerance

GroupTolerance.GroupReturnsFromAnyLossesWithinTolerance: random losses of power and disks, controllers that are replaced for good and losses of all power, two disks at most at once; a disk counts as lost until the controller or its successor has run for 4 s. At the end all allowed disks and all power are lost; a leader must be back within 12 s with every committed command. Planned stops are not part of it (docs/UNPROVED.md).

--- /dev/null
+++ b/src/control/tests/grouptolerance.cpp
@@ -0,0 +1,195 @@
+#include "tests/discoveredgroup.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <optional>
+#include <rapidcheck.h>
+
+using namespace clementinesill;
+using namespace clementinesill::control;
+
+namespace {
+
+// What the users' deployments promise to the group: at most two disks are lost at once. A disk counts as lost from its loss
+// until its controller, or the successor of a controller that is gone for good, has run for the catch-up time.
+constexpr int tolerableDiskLosses = 2;
+constexpr auto catchUpTime = std::chrono::seconds(4);
+constexpr auto recoveryTime = std::chrono::seconds(12);
+
+// Random losses within what is promised, while commands are committed.
+class LossSchedule {
+public:
+    explicit LossSchedule(std::uint64_t seed)
+        : m_group(controllers + spares, seed)
+        , m_controllers(controllers + spares)
+    {
+        for (std::size_t index = controllers; index < m_controllers.size(); ++index)
+            m_group.wipeDataFolder(index);
+        RC_ASSERT(m_group.runAndJoinUntil([&] { return m_group.membersAre({ 0, 1, 2, 3, 4 }); }));
+        m_group.firstStart = false;
+        for (std::size_t index = 0; index < controllers; ++index)
+            m_controllers[index].inUse = true;
+    }
+
+    void run(int losses)
+    {
+        for (int loss = 0; loss < losses; ++loss) {
+            performRandomLoss();
+            runFor(std::chrono::milliseconds(m_group.random.below(3000)));
+            commit();
+        }
+    }
+
+    // Loses as many disks as are allowed now, and all power.
+    void loseDisksAndAllPower()
+    {
+        while (lostDisks() < tolerableDiskLosses)
+            loseDisk(randomController());
+        loseAllPower();
+    }
+
+    void checkRecovery()
+    {
+        const auto deadline = m_group.clock.now() + recoveryTime;
+        while (m_group.clock.now() < deadline && !m_group.leader())
+            advance();
+        RC_ASSERT(m_group.leader().has_value());
+        const auto& applied = m_group.replicas[*m_group.leader()]->machine.applied;
+        for (const auto& command : m_committed)
+            RC_ASSERT(std::any_of(applied.begin(), applied.end(), [&](const auto& line) { return line.ends_with(" " + command); }));
+    }
+
+private:
+    static constexpr std::size_t controllers = 5;
+    static constexpr std::size_t spares = 4;
+
+    struct Controller {
+        bool inUse = false;
+        // Whether the disk was lost, or belongs to the successor of a lost controller, and has not caught up yet.
+        bool countsAsLost = false;
+        std::optional<MonotonicTime> startsAt;
+        MonotonicTime startedAt;
+    };
+
+    void performRandomLoss()
+    {
+        switch (m_group.random.below(6)) {
+        case 0:
+            loseAllPower();
+            break;
+        case 1:
+            losePower(randomController());
+            break;
+        case 2:
+        case 3:
+            if (lostDisks() < tolerableDiskLosses)
+                replace(randomController());
+            break;
+        default:
+            if (lostDisks() < tolerableDiskLosses)
+                loseDisk(m_group.random.below(2) ? m_group.leader().value_or(randomController()) : randomController());
+        }
+    }
+
+    std::size_t randomController()
+    {
+        while (true) {
+            const auto index = m_group.random.below(m_controllers.size());
+            if (m_controllers[index].inUse)
+                return index;
+        }
+    }
+
+    int lostDisks() const
+    {
+        return static_cast<int>(std::count_if(m_controllers.begin(), m_controllers.end(), [](const auto& controller) { return controller.countsAsLost; }));
+    }
+
+    void losePower(std::size_t index)
+    {
+        m_group.kill(index);
+        m_controllers[index].startsAt = m_group.clock.now() + std::chrono::milliseconds(500 + m_group.random.below(1500));
+    }
+
+    void loseAllPower()
+    {
+        for (std::size_t index = 0; index < m_controllers.size(); ++index) {
+            if (m_controllers[index].inUse)
+                losePower(index);
+        }
+    }
+
+    void loseDisk(std::size_t index)
+    {
+        losePower(index);
+        m_group.wipeDataFolder(index);
+        m_controllers[index].countsAsLost = true;
+    }
+
+    // The controller is gone for good, and another one at another endpoint starts a second later.
+    void replace(std::size_t index)
+    {
+        const auto unused = std::find_if(m_controllers.begin(), m_controllers.end(), [](const auto& controller) { return !controller.inUse; });
+        if (unused == m_controllers.end() || m_controllers[index].countsAsLost)
+            return;
+        m_group.wipeDataFolder(index);
+        m_controllers[index] = {};
+        *unused = { .inUse = true, .countsAsLost = true, .startsAt = m_group.clock.now() + std::chrono::seconds(1) };
+    }
+
+    void advance()
+    {
+        for (std::size_t index = 0; index < m_controllers.size(); ++index) {
+            auto& controller = m_controllers[index];
+            if (controller.startsAt && *controller.startsAt <= m_group.clock.now()) {
+                m_group.startAndJoin(index);
+                controller.startsAt.reset();
+                controller.startedAt = m_group.clock.now();
+            }
+            if (!controller.startsAt && controller.startedAt + catchUpTime <= m_group.clock.now())
+                controller.countsAsLost = false;
+        }
+        m_group.advanceAndJoin(std::chrono::milliseconds(20));
+    }
+
+    void runFor(Duration duration)
+    {
+        const auto end = m_group.clock.now() + duration;
+        while (m_group.clock.now() < end)
+            advance();
+    }
+
+    void commit()
+    {
+        const auto leader = m_group.leader();
+        if (!leader)
+            return;
+        const auto command = "command-" + std::to_string(++m_commands);
+        const auto proposal = m_group.propose(*leader, command);
+        runFor(std::chrono::milliseconds(60));
+        const auto& log = m_group.replicas[*leader]->log;
+        if (proposal.index && log && log->term() == proposal.term && log->commitIndex() >= proposal.index)
+            m_committed.push_back(command);
+    }
+
+    DiscoveredGroup m_group;
+    std::vector<Controller> m_controllers;
+    int m_commands = 0;
+    std::vector<std::string> m_committed;
+};
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(GroupTolerance) {};
+// clang-format on
+
+TEST(GroupTolerance, GroupReturnsFromAnyLossesWithinTolerance)
+{
+    CHECK(rc::check("power and disks are lost and controllers are replaced at any time", [](std::uint64_t seed) {
+        LossSchedule schedule(seed);
+        schedule.run(8);
+        schedule.loseDisksAndAllPower();
+        schedule.checkRecovery();
+    }));
+}
