--- a/src/control/tests/discoveredgroup.h
+++ b/src/control/tests/discoveredgroup.h
@@ -10,6 +10,11 @@
 class DiscoveredGroup : public FirstStart, public ReplicaGroup {
 public:
     static constexpr int memberCount = 5;
+    // A controller that was replaced by one at another address no longer counts as lost once the successor has run for this long
+    // (catch_up_s of the users' deployments).
+    static constexpr auto catchUpTime = std::chrono::seconds(4);
+    // Time within which the group must serve again after all controllers are back (recovery_s of the users' deployments).
+    static constexpr auto recoveryTime = std::chrono::seconds(12);
 
     explicit DiscoveredGroup(std::size_t count, std::uint64_t seed = 1)
         : ReplicaGroup(count, seed, [this](std::size_t, auto& options) { configure(options); })
--- a/src/control/tests/groupdiscovery.cpp
+++ b/src/control/tests/groupdiscovery.cpp
@@ -14,12 +14,6 @@
     return std::any_of(machine.applied.begin(), machine.applied.end(), [&](const auto& line) { return line.ends_with(" " + command); });
 }
 
-// A controller that was replaced by one at another address no longer counts as lost once the successor has run for this long
-// (catch_up_s of the users' deployments).
-constexpr auto catchUpTime = std::chrono::seconds(4);
-// Time within which the group must serve again after all controllers are back (recovery_s of the users' deployments).
-constexpr auto recoveryTime = std::chrono::seconds(12);
-
 // Five voters, and a controller that has not been started.
 class FiveVoters : public DiscoveredGroup {
 public:
@@ -246,7 +240,7 @@
         group.kill(dead);
         group.runFor(std::chrono::seconds(1));
         group.startAndJoin(FiveVoters::successor);
-        const auto deadline = group.clock.now() + catchUpTime;
+        const auto deadline = group.clock.now() + FiveVoters::catchUpTime;
         group.runFor(std::chrono::milliseconds(group.random.below(2500)));
         RC_ASSERT(group.runAndJoinUntil([&] { return group.leader().has_value(); }));
         const auto former = *group.leader();
@@ -276,7 +270,7 @@
             RC_ASSERT(group.runAndJoinUntil([&] { return entries.membershipIndex() != index; }));
         }
         group.loseTwoDisksAndAllPower();
-        RC_ASSERT(group.returnsWithin(recoveryTime));
+        RC_ASSERT(group.returnsWithin(FiveVoters::recoveryTime));
         RC_ASSERT(hasApplied(group.replicas[*group.leader()]->machine, "acknowledged"));
     }));
 }
@@ -297,7 +291,7 @@
         group.runFor(std::chrono::milliseconds(4000 + group.random.below(1000)));
         RC_ASSERT(group.runAndJoinUntil([&] { return group.commit("acknowledged"); }));
         group.loseTwoDisksAndAllPower({ dead });
-        RC_ASSERT(group.returnsWithin(recoveryTime));
+        RC_ASSERT(group.returnsWithin(FiveVoters::recoveryTime));
         RC_ASSERT(hasApplied(group.replicas[*group.leader()]->machine, "acknowledged"));
     }));
 }
--- a/src/control/tests/grouptolerance.cpp
+++ b/src/control/tests/grouptolerance.cpp
@@ -13,8 +13,6 @@
 // What the users' deployments promise to the group: at most two disks are lost at once. A disk counts as lost from its loss
 // until its controller, or the successor of a controller that is gone for good, has run for the catch-up time.
 constexpr int tolerableDiskLosses = 2;
-constexpr auto catchUpTime = std::chrono::seconds(4);
-constexpr auto recoveryTime = std::chrono::seconds(12);
 
 // Random losses within what is promised, while commands are committed.
 class LossSchedule {
@@ -50,7 +48,7 @@
 
     void checkRecovery()
     {
-        const auto deadline = m_group.clock.now() + recoveryTime;
+        const auto deadline = m_group.clock.now() + DiscoveredGroup::recoveryTime;
         while (m_group.clock.now() < deadline && !m_group.leader())
             advance();
         RC_ASSERT(m_group.leader().has_value());
@@ -146,7 +144,7 @@
                 controller.startsAt.reset();
                 controller.startedAt = m_group.clock.now();
             }
-            if (!controller.startsAt && controller.startedAt + catchUpTime <= m_group.clock.now())
+            if (!controller.startsAt && controller.startedAt + DiscoveredGroup::catchUpTime <= m_group.clock.now())
                 controller.countsAsLost = false;
         }
         m_group.advanceAndJoin(std::chrono::milliseconds(20));
