--- a/src/control/tests/groupdiscovery.cpp
+++ b/src/control/tests/groupdiscovery.cpp
@@ -37,11 +37,12 @@
     // A running voter that does not lead.
     std::size_t randomFollower()
     {
-        while (true) {
-            const auto index = random.below(replicas.size());
-            if (replicas[index]->log && leader() && *leader() != index && isVoter(index))
-                return index;
-        }
+        CHECK(runAndJoinUntil([&] { return leader().has_value(); }));
+        const auto leading = *leader();
+        auto index = leading;
+        while (index == leading || !replicas[index]->log || !isVoter(index))
+            index = random.below(replicas.size());
+        return index;
     }
 
     // Two voters, among them perhaps the leader, lose their disks, and all controllers lose power for a second. Those that
