--- a/src/control/tests/discoveredgroup.h
+++ b/src/control/tests/discoveredgroup.h
@@ -106,7 +106,8 @@
         return false;
     }
 
-    // Whether the replica's name votes in the leader's committed membership; true if there is no leader.
+    // Whether the replica's name votes in the leader's committed membership; true if there is no leader or a change of the
+    // members is not committed.
     bool isVoter(std::size_t replica) const
     {
         const auto index = leader();
