Log which controller a daemon reads from, and controllers that lack committed changes

The logs could not tell whether a daemon with an old table reads from a controller that confirms it or from one that has fallen silent.

- state_behind, state_up_to_date and the gauge state_lag_seconds: a follower hears the leader but has not applied what it has committed, with both indexes and whether its disk fails. table_age_seconds does not show this: it is small while such a controller confirms.

The intervals of watch streams moved to fleet/types/watchtiming.h, so that tests use them; their values are unchanged.

--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -1,5 +1,6 @@
 #include "control/internal/controller.h"
 
+#include "fleet/types/watchtiming.h"
 #include "foundation/error.h"
 #include "foundation/hash.h"
 #include "foundation/log.h"
@@ -11,10 +12,10 @@
 
 using boost::asio::awaitable;
 
-// Interval at which a watch stream without changes sends the current version as a heartbeat.
-constexpr auto watchHeartbeatInterval = std::chrono::seconds(1);
-// Time for which a daemon may use its table without an update on the stream.
-constexpr std::uint32_t watchLeaseMs = 3000;
+using fleet::watchHeartbeatInterval;
+
+// Interval at which a stream of events without new ones is checked.
+constexpr auto eventPollInterval = std::chrono::seconds(1);
 // Interval at which the leader checks leases and flap damping.
 constexpr auto supervisionInterval = std::chrono::milliseconds(500);
 // A follower has no leases to check; the supervision is woken when leadership changes.
@@ -60,7 +61,7 @@
             break;
         if (decision.action == FeedDecision::Action::Send) {
             auto update = std::make_shared<schema::TableUpdate>(*decision.update);
-            update->set_lease_ms(watchLeaseMs);
+            update->set_lease_ms(static_cast<std::uint32_t>(fleet::watchLease.count()));
             for (const auto& endpoint : m_log.memberEndpoints())
                 update->add_controllers(endpoint);
             if (!co_await writer->write(std::move(update)))
@@ -293,7 +294,7 @@
         if (!request.follow())
             break;
         if (pending.empty())
-            co_await writer->sleep(watchHeartbeatInterval);
+            co_await writer->sleep(eventPollInterval);
     }
     m_eventWriters.erase(writer);
     writer->finish(grpc::Status::OK);
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -23,6 +23,8 @@
 constexpr auto firstElectionTimeout = std::chrono::seconds(3);
 // Timeout for committing a command; its outcome is reported as unknown after that.
 constexpr auto submitTimeout = std::chrono::seconds(4);
+// A state that is older than this is logged. Committed changes normally arrive within milliseconds.
+constexpr auto stateLagThreshold = std::chrono::milliseconds(500);
 
 CommandResult unknownOutcome()
 {
@@ -177,6 +179,7 @@
     }
     publishChanges();
     publishRedundancy();
+    publishStateLag();
     for (const auto& [name, link] : m_links)
         link->wake();
     // Keeps the timer at the log's deadline, so that it fires only when something is due.
@@ -224,12 +227,27 @@
     clementinesill::log(complete ? LogLevel::Info : LogLevel::Warn, "group_redundancy", { { .key = "voters", .value = std::to_string(redundancy->voters) }, { .key = "responding", .value = std::to_string(redundancy->responding) }, { .key = "learners", .value = std::to_string(redundancy->learners) }, { .key = "tolerable_losses", .value = std::to_string(redundancy->tolerableLosses) } });
 }
 
+// Logs when this follower begins to lack changes that the leader has committed, for example because its disk is full, and when it
+// no longer does.
+void ReplicatedCommandLog::publishStateLag()
+{
+    const auto lag = m_log.stateLag();
+    m_stateLagSeconds = std::chrono::duration<double>(lag).count();
+    const bool lags = m_reportedStateLag ? lag > Duration::zero() : lag > stateLagThreshold;
+    if (std::exchange(m_reportedStateLag, lags) == lags)
+        return;
+    const auto lagMs = std::chrono::duration_cast<std::chrono::milliseconds>(lag).count();
+    clementinesill::log(lags ? LogLevel::Warn : LogLevel::Info, lags ? "state_behind" : "state_up_to_date", { { .key = logkey::version, .value = std::to_string(m_state.version()) }, { .key = "applied_index", .value = std::to_string(m_log.commitIndex()) }, { .key = "leader_commit_index", .value = std::to_string(m_log.leaderCommitIndex()) }, { .key = "lag_ms", .value = std::to_string(lagMs) }, { .key = "storage_failing", .value = m_monitoredStorage.isFailing() ? "true" : "false" } });
+}
+
 void ReplicatedCommandLog::describeMetrics()
 {
     m_metrics.describe("log_sync_seconds", "time to make something durable");
     m_metrics.describe("command_seconds", "time from a command to its outcome, by outcome");
     m_metrics.describe("elections_won_total", "times that this controller began to lead with a quorum");
     m_metrics.describe("tolerable_losses", "voting controllers that the group could lose now and still have a majority; -1 unless this controller leads");
+    m_metrics.describe("state_lag_seconds", "how long this controller has lacked changes that the leader has committed");
+    m_metrics.addGauge("state_lag_seconds", {}, [this] { return m_stateLagSeconds.load(); });
     m_metrics.addGauge("tolerable_losses", {}, [this] { return static_cast<double>(m_tolerableLosses); });
 }
 
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -66,6 +66,7 @@
     void publishChanges();
     void logLeadershipChanges(bool hasValidLease, bool hasLeader);
     void publishRedundancy();
+    void publishStateLag();
     void describeMetrics();
     void abandonPendingCommands();
 
@@ -102,6 +103,9 @@
     std::optional<GroupRedundancy> m_publishedRedundancy;
     // Read by the thread that renders the metrics; -1 unless this controller leads.
     std::atomic<int> m_tolerableLosses = -1;
+    // Read by the thread that renders the metrics.
+    std::atomic<double> m_stateLagSeconds = 0;
+    bool m_reportedStateLag = false;
 };
 
 } // namespace clementinesill::control
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -27,6 +27,7 @@
     , m_machine(machine)
     , m_log(storage)
     , m_diskIdentity(0)
+    , m_openedAt(clock.now())
     // The last contact with a leader is not stored, so a restarted controller waits as if it had just heard from one.
     , m_lastLeaderContact(clock.now())
     , m_replication({}, 0)
@@ -179,6 +180,8 @@
         return response;
     }
     followLeader(request.term(), request.leader_endpoint(), request.lease_live());
+    if (request.lease_live())
+        m_leaderCommitIndex = request.commit_index();
     adoptContacts(request);
     response.set_term(m_vote.term());
     const auto previousIndex = request.previous_index();
@@ -196,6 +199,8 @@
     const auto matchIndex = previousIndex + entries.size();
     m_commitIndex = std::max(m_commitIndex, std::min(request.commit_index(), matchIndex));
     applyCommitted();
+    if (request.lease_live() && m_appliedIndex >= request.commit_index())
+        m_lastUpToDate = m_clock.now();
     response.set_success(true);
     response.set_match_index(matchIndex);
     return response;
@@ -344,4 +349,10 @@
     return m_role == ReplicaRole::Follower && m_lastLeaseholderContact + m_options.leaseDuration > m_clock.now();
 }
 
+Duration ReplicatedLog::stateLag() const
+{
+    const bool hearsLeader = hasLeader() && m_role != ReplicaRole::Leader;
+    return hearsLeader && m_leaderCommitIndex > m_appliedIndex ? m_clock.now() - std::max(m_lastUpToDate, m_openedAt) : Duration::zero();
+}
+
 } // namespace clementinesill::control
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -58,6 +58,12 @@
     // Empty unless this controller is a leader with a valid lease.
     std::optional<GroupRedundancy> redundancy() const;
 
+    // How long this controller has not applied everything that the leader it hears has committed; zero if it has, or if it hears
+    // no leader with a valid lease.
+    Duration stateLag() const;
+    // Commit index in the last message from a leader with a valid lease.
+    std::uint64_t leaderCommitIndex() const { return m_leaderCommitIndex; }
+
 private:
     enum class VoteRejection {
         None,
@@ -150,6 +156,7 @@
     IStateMachine& m_machine;
     EntryLog m_log;
     std::uint64_t m_diskIdentity;
+    MonotonicTime m_openedAt;
     schema::VoteRecord m_vote;
     ReplicaRole m_role = ReplicaRole::Follower;
     std::string m_leaderEndpoint;
@@ -160,6 +167,10 @@
     MonotonicTime m_lastLeaderContact;
     // Last message from a leader that held a valid lease.
     MonotonicTime m_lastLeaseholderContact;
+    // Last message from a leader with a valid lease after which everything that it had committed was applied here; the epoch if
+    // there was none.
+    MonotonicTime m_lastUpToDate;
+    std::uint64_t m_leaderCommitIndex = 0;
     std::set<std::string> m_votes;
     std::set<std::string> m_requestedVotes;
     // Reasons of the voters that rejected this election, by name.
--- a/src/dataplane/tests/balancerworker.cpp
+++ b/src/dataplane/tests/balancerworker.cpp
@@ -54,6 +54,7 @@
     MonotonicTime leaderConfirmedAt() const override { return {}; }
     MonotonicTime confirmedAt() const override { return {}; }
     void recordSeenVersion(std::uint64_t) override { }
+    std::uint64_t highestVersionSeen() const override { return 0; }
 
     std::shared_ptr<const fleet::FleetTable> current;
     mutable std::size_t readCount = 0;
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -223,7 +223,7 @@
 {
     WatchStream stream(stub, request, context);
     WatchEnd end;
-    Duration lease = WatchStream::firstUpdateTimeout;
+    Duration lease = firstUpdateTimeout;
     int staleUpdates = 0;
     const bool open = stream.waitUntilOpen();
     while (const auto* update = open ? stream.read(lease) : nullptr) {
@@ -234,8 +234,10 @@
         }
         if (hadNoTable && m_table.version())
             onFirstTable(endpoint);
-        end.received = true;
+        if (!std::exchange(end.received, true))
+            log(LogLevel::Info, "watch_opened", { { .key = "controller", .value = endpoint }, { .key = logkey::version, .value = std::to_string(m_table.version()) } });
         learnControllers(*update);
+        logTableLag(endpoint);
         staleUpdates = m_holder.highestVersionSeen() > m_table.version() ? staleUpdates + 1 : 0;
         if (staleUpdates >= staleUpdateLimit) {
             end.reason = "a peer has a newer table than this controller";
@@ -272,6 +274,17 @@
     return true;
 }
 
+// Logs when a peer is found to have a newer table although this controller has sent an update, and when that has ended.
+void GrpcFleetClient::logTableLag(const std::string& endpoint)
+{
+    const auto newest = m_holder.highestVersionSeen();
+    const auto version = m_table.version();
+    const bool behind = newest > version;
+    if (std::exchange(m_reportedTableBehind, behind) == behind)
+        return;
+    log(behind ? LogLevel::Warn : LogLevel::Info, behind ? "table_behind" : "table_up_to_date", { { .key = logkey::version, .value = std::to_string(version) }, { .key = "newest_version", .value = std::to_string(newest) }, { .key = "controller", .value = endpoint } });
+}
+
 void GrpcFleetClient::publishTable()
 {
     try {
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -59,6 +59,7 @@
     WatchEnd watchOnce(const std::string& endpoint);
     WatchEnd readWatch(const std::string& endpoint, Stub& stub, const schema::WatchRequest& request, grpc::ClientContext& context);
     bool applyUpdate(const schema::TableUpdate& update);
+    void logTableLag(const std::string& endpoint);
     void publishTable();
     void pause(Duration duration);
     void selectConnectedController(ControllerSelector& selector);
@@ -83,6 +84,8 @@
     TableHolder m_holder;
     // Newest table that was received; deltas apply to it. Used by the watch thread only.
     schema::Table m_table;
+    // Whether a newer version than that of the table is known; used by the watch thread only.
+    bool m_reportedTableBehind = false;
     std::atomic<bool> m_stopping { false };
     // Number of calls to interruptCalls().
     std::atomic<int> m_interruptions { 0 };
--- a/src/fleet/internal/watchstream.h
+++ b/src/fleet/internal/watchstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control.grpc.pb.h"
+#include "fleet/types/watchtiming.h"
 #include "foundation/iclock.h"
 
 #include <chrono>
@@ -12,9 +13,6 @@
 // Reads a gRPC stream of table updates with blocking calls that have a timeout.
 class WatchStream {
 public:
-    // Timeout of opening the stream, of its first update and of reading its final status.
-    static constexpr std::chrono::seconds firstUpdateTimeout { 2 };
-
     // The context must outlive the stream.
     WatchStream(schema::Fleet::Stub& stub, const schema::WatchRequest& request, grpc::ClientContext& context);
     ~WatchStream();
--- a/src/fleet/itablesource.h
+++ b/src/fleet/itablesource.h
@@ -25,6 +25,9 @@
 
     // Records the table version that a peer's packet carried, so that a controller with stale tables is detected.
     virtual void recordSeenVersion(std::uint64_t version) = 0;
+
+    // Highest version that controllers or peers have reported.
+    virtual std::uint64_t highestVersionSeen() const = 0;
 };
 
 } // namespace clementinesill::fleet
--- a/src/fleet/tableholder.h
+++ b/src/fleet/tableholder.h
@@ -19,6 +19,7 @@
     MonotonicTime confirmedAt() const override { return m_confirmedAt.load(); }
     MonotonicTime leaderConfirmedAt() const override { return m_leaderConfirmedAt.load(); }
     void recordSeenVersion(std::uint64_t version) override;
+    std::uint64_t highestVersionSeen() const override { return m_highestSeen.load(); }
 
     // Records that a controller with a valid lease reported the version as the newest at the time `at`; ignored if it is
     // not the version of the current table. The recorded time never decreases.
@@ -28,9 +29,6 @@
     // the current table is older.
     void confirmByLeader(std::uint64_t version, MonotonicTime requestedAt);
 
-    // Highest version that controllers or peers have reported.
-    std::uint64_t highestVersionSeen() const { return m_highestSeen.load(); }
-
 private:
     std::atomic<std::shared_ptr<const FleetTable>> m_table;
     std::atomic<std::uint64_t> m_highestSeen { 0 };
--- a/src/passthrough/tests/passthroughagent.cpp
+++ b/src/passthrough/tests/passthroughagent.cpp
@@ -101,6 +101,7 @@
     MonotonicTime confirmedAt() const override { return {}; }
     MonotonicTime leaderConfirmedAt() const override { return {}; }
     void recordSeenVersion(std::uint64_t) override { }
+    std::uint64_t highestVersionSeen() const override { return 0; }
 
     std::shared_ptr<const fleet::FleetTable> current;
 };
