--- a/src/fleet/tests/grpcfleetclient.cpp
+++ b/src/fleet/tests/grpcfleetclient.cpp
@@ -3,6 +3,7 @@
 #include "fleet/fleettable.h"
 #include "foundation/error.h"
 #include "tests/delayedcontroller.h"
+#include "tests/silentcontroller.h"
 #include "tests/unresponsivelistener.h"
 
 #include <CppUTest/TestHarness.h>
@@ -18,6 +19,8 @@
 constexpr std::chrono::seconds waitTimeout { 60 };
 // After a restart of all VMs, service must be restored within this time.
 constexpr std::chrono::seconds recoveryLimit { 2 };
+// An accepted change must be in force within this time (config_propagation_ms of the users' deployments).
+constexpr std::chrono::seconds propagationBound { 3 };
 // A daemon must shut down within six seconds; ending the calls may take this part of them.
 constexpr std::chrono::seconds interruptLimit { 3 };
 // Number of streams that time out; on each, a late update may arrive while the client closes the stream.
@@ -89,6 +92,35 @@
     CHECK(elapsed < recoveryLimit);
 }
 
+// As many controllers may stall at once as disks may be lost.
+TEST(GrpcFleetClient, TwoSilentControllersDoNotDelayNewTableBeyondBound)
+{
+    const SilentController watched(1);
+    const SilentController alsoSilent(0);
+    const SilentController upToDate(2);
+    schema::DaemonSettings settings;
+    settings.set_name("balancer");
+    settings.mutable_balancer();
+    std::atomic<bool> changed { false };
+    fleet::GrpcFleetClient client(settings, [&] {
+        return changed ? std::vector { watched.endpoint(), alsoSilent.endpoint(), upToDate.endpoint() } : std::vector { watched.endpoint() };
+    });
+    const auto waitForVersion = [&](std::uint64_t version) {
+        const auto deadline = std::chrono::steady_clock::now() + waitTimeout;
+        while (client.tables().table()->version() < version && std::chrono::steady_clock::now() < deadline)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        LONGS_EQUAL(version, client.tables().table()->version());
+    };
+    client.start();
+    waitForVersion(1);
+    changed = true;
+    const auto accepted = std::chrono::steady_clock::now();
+    waitForVersion(2);
+    const auto elapsed = std::chrono::steady_clock::now() - accepted;
+    client.stop();
+    CHECK(elapsed < propagationBound);
+}
+
 TEST(GrpcFleetClient, InterruptCallsEndsPendingRegistration)
 {
     schema::DaemonSettings settings;
