Let only controllers that hold what the leader committed confirm tables

Callers of routes that had been added were refused, and removed routes were served, for as long as the disks of two controllers were full: up to 28 s after the acknowledgement.

Cause: TableFeed asked whether this controller hears a leader with a valid lease. A follower whose disk is full hears it but stores and applies nothing, so it confirmed its old table every second, and daemons had no reason to turn away. The same holds for a log that conflicts and for a learner that catches up.

Change: a controller serves tables only if it has, within the lease duration, applied all that a leader with a valid lease had committed. Otherwise it ends its streams with the leader's endpoint. It follows within one lease after the first message that it cannot apply.

--- a/src/control/icommandlog.h
+++ b/src/control/icommandlog.h
@@ -28,6 +28,10 @@
     // Whether this controller is the leader, or heard from a leader with a valid lease within the lease duration.
     virtual bool hasLeader() const = 0;
 
+    // Whether this controller is the leader with a valid lease, or had applied, within the lease duration, everything that such a
+    // leader had committed.
+    virtual bool isUpToDate() const = 0;
+
     // Whether this controller has had no leader since its start and started so recently that its group may still be electing
     // one.
     virtual bool mayBeElectingFirstLeader() const = 0;
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -191,12 +191,14 @@
 {
     const bool hasValidLease = m_log.hasValidLease();
     const bool hasLeader = m_log.hasLeader();
-    if (m_state.version() == m_publishedVersion && hasValidLease == m_hadValidLease && hasLeader == m_hadLeader)
+    const bool isUpToDate = m_log.isUpToDate();
+    if (m_state.version() == m_publishedVersion && hasValidLease == m_hadValidLease && hasLeader == m_hadLeader && isUpToDate == m_wasUpToDate)
         return;
     m_publishedVersion = m_state.version();
     logLeadershipChanges(hasValidLease, hasLeader);
     m_hadValidLease = hasValidLease;
     m_hadLeader = hasLeader;
+    m_wasUpToDate = isUpToDate;
     m_everHadLeader = m_everHadLeader || hasLeader;
     m_onChange();
 }
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -33,6 +33,7 @@
     boost::asio::awaitable<CommandResult> submit(schema::Command command) override;
     bool hasValidLease() const override { return m_log.hasValidLease(); }
     bool hasLeader() const override { return m_log.hasLeader(); }
+    bool isUpToDate() const override { return m_log.isUpToDate(); }
     bool mayBeElectingFirstLeader() const override;
     std::string leaderEndpoint() const override { return m_log.leaderEndpoint(); }
     std::vector<std::string> memberEndpoints() const override;
@@ -97,6 +98,7 @@
     std::uint64_t m_publishedVersion = 0;
     bool m_hadValidLease = false;
     bool m_hadLeader = false;
+    bool m_wasUpToDate = false;
     // Members that start together should have elected the first leader by then.
     MonotonicTime m_firstElectionDeadline;
     bool m_everHadLeader = false;
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -112,7 +112,9 @@
     if (m_role == ReplicaRole::Leader)
         return hasValidLease() ? leaseExpiry() : stepDownDeadline();
     const auto electionDeadline = isMember() ? m_electionDeadline : MonotonicTime::max();
-    return hasLeader() ? std::min(electionDeadline, m_lastLeaseholderContact + m_options.leaseDuration) : electionDeadline;
+    if (!hasLeader())
+        return electionDeadline;
+    return std::min(electionDeadline, (isUpToDate() ? m_lastUpToDate : m_lastLeaseholderContact) + m_options.leaseDuration);
 }
 
 MonotonicTime ReplicatedLog::nextMessageTime(const std::string& peer) const
@@ -349,6 +351,11 @@
     return m_role == ReplicaRole::Follower && m_lastLeaseholderContact + m_options.leaseDuration > m_clock.now();
 }
 
+bool ReplicatedLog::isUpToDate() const
+{
+    return hasValidLease() || (hasLeader() && m_lastUpToDate + m_options.leaseDuration > m_clock.now());
+}
+
 Duration ReplicatedLog::stateLag() const
 {
     const bool hearsLeader = hasLeader() && m_role != ReplicaRole::Leader;
--- a/src/control/internal/tablefeed.cpp
+++ b/src/control/internal/tablefeed.cpp
@@ -13,6 +13,8 @@
         return { .action = FeedDecision::Action::Reject, .reason = "this controller has no contact with a leader that holds a valid lease; connect to another one" };
     if (!version && !m_log.hasValidLease())
         return { .action = FeedDecision::Action::Reject, .reason = "only the leader sends a first table; connect to the leader" };
+    if (!m_log.isUpToDate())
+        return { .action = FeedDecision::Action::Reject, .reason = "this controller lacks changes that the leader has committed; connect to the leader" };
     if (version > m_state.version()) {
         if (m_log.hasValidLease())
             return { .action = FeedDecision::Action::Reject, .reason = "the daemon has a newer table than the leader; check whether a second group of controllers exists" };
--- a/src/control/ireplicatedlog.h
+++ b/src/control/ireplicatedlog.h
@@ -33,7 +33,8 @@
 
     virtual void tick() = 0;
 
-    // Earliest time at which tick() may act, or hasValidLease() or hasLeader() may change, without a received message.
+    // Earliest time at which tick() may act, or hasValidLease(), hasLeader() or isUpToDate() may change, without a received
+    // message.
     virtual MonotonicTime nextDeadline() const = 0;
 
     // Message to send to the peer now; empty optional if there is none.
@@ -75,6 +76,10 @@
     // Whether hasValidLease(), or a leader with a valid lease was heard within the lease duration.
     virtual bool hasLeader() const = 0;
 
+    // Whether hasValidLease(), or everything that a leader with a valid lease had committed was applied here within the lease
+    // duration. False on a controller that hears the leader but cannot store what it sends, or is still catching up.
+    virtual bool isUpToDate() const = 0;
+
     // gRPC endpoint; empty if unknown.
     virtual const std::string& leaderEndpoint() const = 0;
 };
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -48,6 +48,7 @@
     std::uint64_t term() const override { return m_vote.term(); }
     bool hasValidLease() const override;
     bool hasLeader() const override;
+    bool isUpToDate() const override;
     const std::string& leaderEndpoint() const override { return m_leaderEndpoint; }
 
     std::uint64_t commitIndex() const { return m_commitIndex; }
--- a/src/control/tablefeed.h
+++ b/src/control/tablefeed.h
@@ -24,7 +24,8 @@
     {
     }
 
-    // version is the table version that the daemon has, 0 if it has no table. Only a leader with a valid lease sends a first
+    // version is the table version that the daemon has, 0 if it has no table. Only a controller that is up to date sends updates,
+    // also those that confirm the daemon's version as the newest. Only a leader with a valid lease sends a first
     // table, so that a restarted daemon never receives an older table than it had before.
     FeedDecision decide(std::uint64_t version) const;
 
--- a/src/control/tests/tablefeed.cpp
+++ b/src/control/tests/tablefeed.cpp
@@ -16,10 +16,12 @@
     bool validLease = false;
     bool electingFirstLeader = false;
     bool leaderContact = true;
+    bool upToDate = true;
 
     boost::asio::awaitable<CommandResult> submit(schema::Command) override { co_return CommandResult {}; }
     bool hasValidLease() const override { return validLease; }
     bool hasLeader() const override { return validLease || leaderContact; }
+    bool isUpToDate() const override { return validLease || (leaderContact && upToDate); }
     bool mayBeElectingFirstLeader() const override { return electingFirstLeader; }
     std::vector<std::string> memberEndpoints() const override { return {}; }
     std::string leaderEndpoint() const override { return {}; }
@@ -83,6 +85,14 @@
     CHECK(feed.decide(state.version() + 1).action == FeedDecision::Action::Reject);
 }
 
+TEST(TableFeed, ControllerThatLacksCommittedChangesConfirmsNothing)
+{
+    log.upToDate = false;
+    CHECK(feed.decide(state.version()).action == FeedDecision::Action::Reject);
+    CHECK(feed.decide(state.version() - 1).action == FeedDecision::Action::Reject);
+    CHECK(feed.decide(state.version() + 1).action == FeedDecision::Action::Reject);
+}
+
 TEST(TableFeed, SendsDeltaToDaemonOneVersionBehind)
 {
     const auto decision = feed.decide(state.version() - 1);
--- a/src/control/tests/tablefreshness.cpp
+++ b/src/control/tests/tablefreshness.cpp
@@ -46,6 +46,7 @@
     boost::asio::awaitable<CommandResult> submit(schema::Command) override { co_return CommandResult {}; }
     bool hasValidLease() const override { return m_log.hasValidLease(); }
     bool hasLeader() const override { return m_log.hasLeader(); }
+    bool isUpToDate() const override { return m_log.isUpToDate(); }
     bool mayBeElectingFirstLeader() const override { return false; }
     std::string leaderEndpoint() const override { return m_log.leaderEndpoint(); }
     std::vector<std::string> memberEndpoints() const override { return {}; }
