Turn away from silent controllers within the propagation bound

With the disks of two controllers stalled for 6 s, a change took effect 4.6 s after its acknowledgement at up to 11 of 17 daemons; 3 s are allowed.

Cause: a daemon read nothing for the lease of its stream, 3 s, which is the whole bound, and then gave the next controller 2 s, which was silent as well.

--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -3,6 +3,7 @@
 #include "fleet/fleettable.h"
 #include "fleet/internal/watchstream.h"
 #include "fleet/tabledelta.h"
+#include "fleet/types/watchtiming.h"
 #include "foundation/error.h"
 #include "foundation/log.h"
 
@@ -115,6 +116,7 @@
         const auto end = watchOnce(selector.current());
         if (m_stopping)
             return;
+        m_failedWatches = end.received ? 0 : m_failedWatches + 1;
         if (end.received) {
             selector.onSuccess();
             selector.setMaximumBackoff(maximumBackoffWhileServing);
@@ -219,11 +221,20 @@
     return end;
 }
 
+// Timeout of opening a stream and of its first update.
+Duration GrpcFleetClient::watchTimeout() const
+{
+    if (!m_table.version())
+        return firstUpdateTimeout;
+    constexpr int maximumDoublings = 2;
+    return std::min<Duration>(firstUpdateTimeout, renewedWatchTimeout * (1 << std::min(m_failedWatches, maximumDoublings)));
+}
+
 GrpcFleetClient::WatchEnd GrpcFleetClient::readWatch(const std::string& endpoint, Stub& stub, const schema::WatchRequest& request, grpc::ClientContext& context)
 {
-    WatchStream stream(stub, request, context);
+    WatchStream stream(stub, request, context, watchTimeout());
     WatchEnd end;
-    Duration lease = firstUpdateTimeout;
+    Duration lease = watchTimeout();
     int staleUpdates = 0;
     const bool open = stream.waitUntilOpen();
     while (const auto* update = open ? stream.read(lease) : nullptr) {
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -57,6 +57,7 @@
 
     void watchLoop();
     WatchEnd watchOnce(const std::string& endpoint);
+    Duration watchTimeout() const;
     WatchEnd readWatch(const std::string& endpoint, Stub& stub, const schema::WatchRequest& request, grpc::ClientContext& context);
     bool applyUpdate(const schema::TableUpdate& update);
     void logTableLag(const std::string& endpoint);
@@ -86,6 +87,8 @@
     schema::Table m_table;
     // Whether a newer version than that of the table is known; used by the watch thread only.
     bool m_reportedTableBehind = false;
+    // Number of consecutive watches that received no update; used by the watch thread only.
+    int m_failedWatches = 0;
     std::atomic<bool> m_stopping { false };
     // Number of calls to interruptCalls().
     std::atomic<int> m_interruptions { 0 };
--- a/src/fleet/internal/watchstream.cpp
+++ b/src/fleet/internal/watchstream.cpp
@@ -9,8 +9,9 @@
 
 } // namespace
 
-WatchStream::WatchStream(schema::Fleet::Stub& stub, const schema::WatchRequest& request, grpc::ClientContext& context)
-    : m_context(context)
+WatchStream::WatchStream(schema::Fleet::Stub& stub, const schema::WatchRequest& request, grpc::ClientContext& context, Duration openTimeout)
+    : m_openTimeout(openTimeout)
+    , m_context(context)
     , m_reader(stub.AsyncWatch(&m_context, request, &m_queue, watchTag))
 {
 }
@@ -36,7 +37,7 @@
         return { grpc::StatusCode::DEADLINE_EXCEEDED, "the controller sent no update within the lease time" };
     grpc::Status status;
     m_reader->Finish(&status, watchTag);
-    waitForEvent(firstUpdateTimeout);
+    waitForEvent(m_openTimeout);
     return status;
 }
 
