Let daemons of a failed controller turn to different ones

All 17 daemons read from one controller with a full disk, so that no caller was served by the newest table, and no daemon could learn from a peer that its table was old.

Cause: ControllerSelector tries the controllers in the order of the list, which is the same for all daemons. All of them read their first table from the leader, so when it fails all turn to the same next controller.

Change: each daemon sorts the controllers by a hash of its own name and the endpoint.

ControllerOrder.DaemonsOfOneFailedControllerSpreadOverTheOthers: with the former order, 200 daemons turn to one controller; now to all four others, none to fewer than 25 or more than 100 daemons.

--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -1,5 +1,6 @@
 #include "fleet/internal/grpcfleetclient.h"
 
+#include "fleet/controllerorder.h"
 #include "fleet/fleettable.h"
 #include "fleet/internal/watchstream.h"
 #include "fleet/tabledelta.h"
@@ -140,13 +141,13 @@
 std::vector<std::string> GrpcFleetClient::controllers() const
 {
     if (!m_source)
-        return { m_settings.controllers().begin(), m_settings.controllers().end() };
+        return orderControllers({ m_settings.controllers().begin(), m_settings.controllers().end() }, m_settings.name());
     auto known = m_source();
     for (const auto& endpoint : m_learnedControllers) {
         if (std::find(known.begin(), known.end(), endpoint) == known.end())
             known.push_back(endpoint);
     }
-    return known;
+    return orderControllers(std::move(known), m_settings.name());
 }
 
 void GrpcFleetClient::learnControllers(const schema::TableUpdate& update)
@@ -170,7 +171,7 @@
     auto known = controllers();
     if (!leaderHint.empty() && std::find(known.begin(), known.end(), leaderHint) == known.end())
         known.push_back(leaderHint);
-    selector.replaceEndpoints(std::move(known));
+    selector.replaceEndpoints(orderControllers(std::move(known), m_settings.name()));
 }
 
 // Closes a connection that failed or timed out, so that the next call opens a new one.
