Let agents learn newer table versions from the leader's renewals

An agent renews its server's lease at the leader every second and gets the newest version with the response, but used it only if it confirmed the agent's own table. So it stayed with a controller that confirmed an old table, unless a peer's packet carried a newer version; where the whole fleet reads from one controller, none does.

Change: the version in the leader's response counts as seen, so that the agent turns to another controller after three heartbeats that leave it behind.

TableHolder.NewerVersionInLeadersResponseIsRecordedAsSeen fails before and passes after it.

--- a/src/fleet/internal/tableholder.cpp
+++ b/src/fleet/internal/tableholder.cpp
@@ -46,6 +46,7 @@
 
 void TableHolder::confirmByLeader(std::uint64_t version, MonotonicTime requestedAt)
 {
+    recordSeenVersion(version);
     if (version <= m_table.load()->version())
         advance(m_leaderConfirmedAt, requestedAt);
 }
--- a/src/fleet/tableholder.h
+++ b/src/fleet/tableholder.h
@@ -25,8 +25,8 @@
     // not the version of the current table. The recorded time never decreases.
     void confirm(std::uint64_t version, MonotonicTime at);
 
-    // Records that the leader reported the version as the newest in response to a request sent at `requestedAt`; ignored if
-    // the current table is older.
+    // Records that the leader reported the version as the newest in response to a request sent at `requestedAt`. Confirms the
+    // current table unless it is older.
     void confirmByLeader(std::uint64_t version, MonotonicTime requestedAt);
 
 private:
--- a/src/fleet/tests/tableholder.cpp
+++ b/src/fleet/tests/tableholder.cpp
@@ -43,3 +43,13 @@
     holder.confirm(5, start + std::chrono::seconds(3));
     CHECK(holder.confirmedAt() == start + std::chrono::seconds(4));
 }
+
+// Otherwise an agent whose controller has an old table would stay with it, although it renews at the leader every second.
+TEST(TableHolder, NewerVersionInLeadersResponseIsRecordedAsSeen)
+{
+    TableHolder holder;
+    holder.replaceIfNewer(makeTable(5));
+    holder.confirmByLeader(6, MonotonicTime() + std::chrono::seconds(4));
+    LONGS_EQUAL(6, holder.highestVersionSeen());
+    CHECK(holder.leaderConfirmedAt() == MonotonicTime());
+}
