Test with real controllers that a full disk ends the streams of daemons

The log file of one of three controllers is replaced by /dev/full; its open stream must end within 3 s of the next accepted change.

--- a/src/control/tests/controllermodule.cpp
+++ b/src/control/tests/controllermodule.cpp
@@ -12,12 +12,15 @@
 #include <array>
 #include <chrono>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <functional>
+#include <future>
 #include <grpcpp/grpcpp.h>
 #include <memory>
 #include <optional>
 #include <thread>
+#include <unistd.h>
 
 using namespace clementinesill;
 
@@ -26,6 +29,8 @@
 const std::array<std::string, 3> endpoints { "127.0.0.1:21100", "127.0.0.1:21101", "127.0.0.1:21102" };
 // Upper limit for a failing test; a passing test does not wait for it.
 constexpr auto testTimeout = std::chrono::seconds(30);
+// Time within which an accepted change is in force everywhere (config_propagation_ms of the users' deployments).
+constexpr auto propagationBound = std::chrono::seconds(3);
 
 bool waitUntil(const std::function<bool()>& condition)
 {
@@ -101,6 +106,19 @@
 
     void removeDataFolder(std::size_t index) { std::filesystem::remove_all(m_folder.path() + "/control-" + std::to_string(index + 1)); }
 
+    // Lets all further writes to the controller's log fail with "no space left on device".
+    void fillDisk(std::size_t index)
+    {
+        const std::filesystem::path log = m_folder.path() + "/control-" + std::to_string(index + 1) + "/log";
+        const int full = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
+        std::error_code ignored;
+        for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+            if (std::filesystem::read_symlink(entry.path(), ignored) == log)
+                ::dup2(full, std::stoi(entry.path().filename()));
+        }
+        ::close(full);
+    }
+
     bool running(std::size_t index) const { return m_modules[index] != nullptr; }
 
     // Status as reported by a running controller.
@@ -247,3 +265,27 @@
     LONGS_EQUAL(1, controllers.apply("one", 0, "desk").revision());
     LONGS_EQUAL(schema::Outcome::CODE_OK, controllers.apply("two", 1, "gallery").outcome().code());
 }
+
+TEST(ControllerModule, FollowerWithFullDiskEndsStreamsOfDaemonsWithOldTable)
+{
+    Controllers controllers(3);
+    const auto accepted = controllers.apply("one", 0, "desk");
+    const auto follower = (*controllers.leader() + 1) % 3;
+    const auto stub = schema::Fleet::NewStub(grpc::CreateChannel(endpoints[follower], grpc::InsecureChannelCredentials()));
+    grpc::ClientContext context;
+    schema::WatchRequest request;
+    request.set_version(accepted.version());
+    const auto stream = stub->Watch(&context, request);
+    schema::TableUpdate update;
+    CHECK(stream->Read(&update));
+    controllers.fillDisk(follower);
+    LONGS_EQUAL(schema::Outcome::CODE_OK, controllers.apply("two", 1, "gallery").outcome().code());
+    auto status = std::async(std::launch::async, [&] {
+        while (stream->Read(&update)) { }
+        return stream->Finish().error_code();
+    });
+    const bool ended = status.wait_for(propagationBound) == std::future_status::ready;
+    context.TryCancel();
+    CHECK(ended);
+    LONGS_EQUAL(grpc::StatusCode::UNAVAILABLE, status.get());
+}
--- a/src/fleet/itablesource.h
+++ b/src/fleet/itablesource.h
@@ -17,7 +17,7 @@
     // Never null; version 0 until the first table is received.
     virtual std::shared_ptr<const FleetTable> table() const = 0;
 
-    // When a controller with a valid lease last confirmed that no newer version of the table exists; the epoch if never.
+    // When a controller that was up to date last confirmed that it has no newer version of the table; the epoch if never.
     virtual MonotonicTime confirmedAt() const = 0;
 
     // When the leader last confirmed the same: it accepted no newer version before this time. The epoch if never.
