Test deltas over several random changes of routes

The property of FleetState contains no documents, and the one delta test of documents covers one change.

--- a/src/control/tests/configdocument.cpp
+++ b/src/control/tests/configdocument.cpp
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <google/protobuf/util/message_differencer.h>
+#include <rapidcheck.h>
 
 using namespace clementinesill;
 using namespace clementinesill::control;
@@ -85,6 +86,38 @@
     CHECK(differencer.Compare(table, state.table()));
 }
 
+// A delta without a removed or moved route would leave a daemon with an old route although its version is the newest.
+TEST(ConfigDocument, DeltasOverSeveralChangesReproduceRoutes)
+{
+    CHECK(rc::check("routes are added, removed and moved to another service", [] {
+        FleetState changing;
+        schema::Table daemonTable;
+        const auto changes = *rc::gen::inRange<std::uint64_t>(2, 30);
+        for (std::uint64_t version = 1; version <= changes; ++version) {
+            auto command = documentCommand(version, "document", {});
+            for (int port = 80; port < 86; ++port) {
+                const auto service = *rc::gen::inRange<std::uint32_t>(0, 3);
+                if (service == 2)
+                    continue;
+                auto& route = *command.mutable_document()->add_routes();
+                route.set_endpoint("198.18.0.1:" + std::to_string(port));
+                route.add_targets()->set_service_id(service);
+            }
+            changing.apply(command);
+            if (*rc::gen::arbitrary<bool>())
+                continue;
+            const auto update = changing.updateFrom(daemonTable.version());
+            if (update->has_table())
+                daemonTable = update->table();
+            else
+                RC_ASSERT(fleet::applyDelta(daemonTable, update->delta()));
+            google::protobuf::util::MessageDifferencer differencer;
+            differencer.set_repeated_field_comparison(google::protobuf::util::MessageDifferencer::AS_SET);
+            RC_ASSERT(differencer.Compare(daemonTable, changing.table()));
+        }
+    }));
+}
+
 TEST(ConfigDocument, SnapshotRestoresDocumentAndZones)
 {
     state.apply(documentCommand(7, "seven", { "198.18.0.1:80" }));
