--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -37,7 +37,7 @@
 // Time without an update after which the controllers are logged as unreachable.
 constexpr auto unreachableTimeout = std::chrono::seconds(5);
 // The daemon switches to another controller after this number of consecutive updates or heartbeats that left its table older
-// than the version in a peer's packet.
+// than the newest version that a peer or the leader has reported.
 constexpr int staleUpdateLimit = 3;
 // Maximum size of a received message, which limits the size of the table.
 constexpr int maximumMessageBytes = 64 << 20;
@@ -169,9 +169,11 @@
         return;
     const std::lock_guard lock(m_mutex);
     auto known = controllers();
-    if (!leaderHint.empty() && std::find(known.begin(), known.end(), leaderHint) == known.end())
+    if (!leaderHint.empty() && std::find(known.begin(), known.end(), leaderHint) == known.end()) {
         known.push_back(leaderHint);
-    selector.replaceEndpoints(orderControllers(std::move(known), m_settings.name()));
+        known = orderControllers(std::move(known), m_settings.name());
+    }
+    selector.replaceEndpoints(std::move(known));
 }
 
 // Closes a connection that failed or timed out, so that the next call opens a new one.
@@ -252,7 +254,7 @@
         logTableLag(endpoint);
         staleUpdates = m_holder.highestVersionSeen() > m_table.version() ? staleUpdates + 1 : 0;
         if (staleUpdates >= staleUpdateLimit) {
-            end.reason = "a peer has a newer table than this controller";
+            end.reason = "a peer or the leader has a newer table than this controller";
             return end;
         }
         if (update->lease_ms())
@@ -286,7 +288,8 @@
     return true;
 }
 
-// Logs when a peer is found to have a newer table although this controller has sent an update, and when that has ended.
+// Logs when a peer or the leader is known to have a newer table although this controller has sent an update, and when that has
+// ended.
 void GrpcFleetClient::logTableLag(const std::string& endpoint)
 {
     const auto newest = m_holder.highestVersionSeen();
