--- a/src/fleet/tableholder.h
+++ b/src/fleet/tableholder.h
@@ -21,8 +21,8 @@
     void recordSeenVersion(std::uint64_t version) override;
     std::uint64_t highestVersionSeen() const override { return m_highestSeen.load(); }
 
-    // Records that a controller with a valid lease reported the version as the newest at the time `at`; ignored if it is
-    // not the version of the current table. The recorded time never decreases.
+    // Records that a controller that was up to date reported the version as the newest at the time `at`; ignored if it is not
+    // the version of the current table. The recorded time never decreases.
     void confirm(std::uint64_t version, MonotonicTime at);
 
     // Records that the leader reported the version as the newest in response to a request sent at `requestedAt`. Confirms the
