--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -24,6 +24,7 @@
     "cold_slack": 5, "evacuate_ms": 5000, "recovery_s": 12, "flow_ms": 2000, "flow_max_s": 60,
 }
 HEARTBEAT_MS = 770
+METRICS_PORT = 9464
 
 
 class CannotRun(Exception):
@@ -124,7 +125,18 @@
         self.seeds = []
 
     def _free_network(self):
-        return f"127.{random.randint(20, 250)}"
+        """The first half of the addresses. The metrics port is fixed in the templates, so nothing else may listen there."""
+        for _ in range(50):
+            net = f"127.{random.randint(20, 250)}"
+            try:
+                for group in (1, 2, 3):
+                    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                        probe.bind((f"{net}.{group}.1", METRICS_PORT))
+                return net
+            except OSError:
+                continue
+        raise CannotRun("no free loopback addresses")
 
     def _free_ports(self, count):
         ports = []
@@ -165,6 +177,17 @@
             self._add(name, "controller", ip, self._fields(name, "core", ip, self.zones[index % len(self.zones)], data_dir=str(folder), listen={"control": f"{ip}:{self.control_port}"}))
         return [f"{ip}:{self.control_port}" for ip in ips]
 
+    def add_successor(self, index, zone, seeds):
+        """A core machine that is added later, at another address and with an empty disk."""
+        ip = f"{self.net}.3.{index}"
+        name = f"core-{index}"
+        folder = self.folder / f"{name}.data"
+        folder.mkdir()
+        fields = self._fields(name, "core", ip, zone, data_dir=str(folder), listen={"control": f"{ip}:{self.control_port}"})
+        fields["bootstrap"] = False
+        fields["seeds"] = seeds
+        return self._add(name, "controller", ip, fields)
+
     def add_balancer(self, index, zone):
         ip = f"{self.net}.1.{index}"
         name = f"front-{index}"
