Name failing storage operations, silent voters and the size of the log

A controller whose disk refused a write logged storage_failed once, without the operation and without a sign that it still fails a minute later; the leader's group_redundancy had the number of voters that respond, not which one is missing; and nothing showed the size of the log before the disk was full.

No decision depends on them.

--- a/src/control/entrylog.h
+++ b/src/control/entrylog.h
@@ -31,6 +31,8 @@
     // Index of the last entry that is durable.
     std::uint64_t syncedIndex() const { return m_syncedIndex; }
     const schema::SnapshotRecord& snapshot() const { return m_snapshot; }
+    // Size of the commands of all entries held, in bytes.
+    std::size_t commandBytes() const { return m_commandBytes; }
 
     // Empty optional if the entry is not held.
     std::optional<std::uint64_t> termAt(std::uint64_t index) const;
@@ -64,6 +66,7 @@
 
 private:
     void truncateFrom(std::uint64_t index);
+    void discardUpTo(std::uint64_t index);
     void recordMembership(const schema::LogEntry& entry);
 
     ILogStorage& m_storage;
@@ -72,6 +75,7 @@
     std::uint64_t m_baseTerm = 0;
     std::uint64_t m_syncedIndex = 0;
     std::deque<schema::LogEntry> m_entries;
+    std::size_t m_commandBytes = 0;
     // Memberships by the index of their entry, starting with the one in the snapshot.
     std::vector<std::pair<std::uint64_t, schema::Membership>> m_memberships;
 };
--- a/src/control/internal/entrylog.cpp
+++ b/src/control/internal/entrylog.cpp
@@ -13,6 +13,7 @@
     m_baseIndex = m_snapshot.last_index();
     m_baseTerm = m_snapshot.last_term();
     m_entries.clear();
+    m_commandBytes = 0;
     m_memberships.clear();
     if (m_snapshot.membership().members_size())
         m_memberships.emplace_back(m_snapshot.last_index(), m_snapshot.membership());
@@ -52,6 +53,7 @@
 void EntryLog::append(schema::LogEntry entry)
 {
     recordMembership(entry);
+    m_commandBytes += entry.command().size();
     m_entries.push_back(std::move(entry));
 }
 
@@ -78,7 +80,10 @@
 
 void EntryLog::truncateFrom(std::uint64_t index)
 {
-    m_entries.resize(index - m_baseIndex - 1);
+    while (lastIndex() >= index) {
+        m_commandBytes -= m_entries.back().command().size();
+        m_entries.pop_back();
+    }
     std::erase_if(m_memberships, [&](const auto& pair) { return pair.first >= index; });
     m_syncedIndex = std::min(m_syncedIndex, index - 1);
 }
@@ -116,13 +121,20 @@
     const auto base = std::max(m_baseIndex, index > trailingEntries ? index - trailingEntries : 0);
     // Stored first: the entries stay in memory if that fails.
     m_storage.saveSnapshot(snapshot, entriesFrom(base + 1, static_cast<std::size_t>(-1)));
-    m_baseTerm = *termAt(base);
-    m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(base - m_baseIndex));
-    m_baseIndex = base;
+    discardUpTo(base);
     m_syncedIndex = lastIndex();
     m_snapshot = std::move(snapshot);
 }
 
+void EntryLog::discardUpTo(std::uint64_t index)
+{
+    m_baseTerm = *termAt(index);
+    for (; m_baseIndex < index; ++m_baseIndex) {
+        m_commandBytes -= m_entries.front().command().size();
+        m_entries.pop_front();
+    }
+}
+
 void EntryLog::installSnapshot(schema::SnapshotRecord snapshot)
 {
     std::vector<schema::LogEntry> kept;
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -284,6 +284,19 @@
     return redundancy;
 }
 
+std::vector<std::string> ReplicatedLog::silentVoters() const
+{
+    std::vector<std::string> names;
+    if (!hasValidLease())
+        return names;
+    const auto since = m_clock.now() - m_options.minElectionTimeout;
+    for (const auto& member : m_log.membership()->members()) {
+        if (!m_replication.isActiveSince(member, since))
+            names.push_back(member.name());
+    }
+    return names;
+}
+
 bool ReplicatedLog::hasQuorumWithout(const std::string& name) const
 {
     const auto& members = m_log.membership()->members();
--- a/src/control/internal/monitoredstorage.h
+++ b/src/control/internal/monitoredstorage.h
@@ -6,13 +6,15 @@
 #include <atomic>
 
 namespace clementinesill {
+class Error;
 class Histogram;
 class MetricsRegistry;
 } // namespace clementinesill
 
 namespace clementinesill::control {
 
-// Measures the writes of another storage, and logs when they begin to fail or to be slow and when they no longer are.
+// Measures the writes of another storage, and logs when they begin to fail or to be slow, while they keep failing, and when they
+// no longer do.
 class MonitoredStorage final : public ILogStorage {
 public:
     MonitoredStorage(ILogStorage& storage, const IClock& clock, MetricsRegistry& metrics);
@@ -27,13 +29,17 @@
 
 private:
     template <typename Write>
-    void writeTimed(Write write);
+    void writeTimed(const char* operation, Write write);
     void recordDuration(Duration elapsed);
+    void recordFailure(const char* operation, const Error& error);
 
     ILogStorage& m_storage;
     const IClock& m_clock;
+    MetricsRegistry& m_metrics;
     Histogram& m_syncTimes;
     bool m_slow = false;
+    MonotonicTime m_failingSince;
+    MonotonicTime m_lastFailureReport;
     std::atomic<bool> m_failing = false;
 };
 
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -180,6 +180,7 @@
     publishChanges();
     publishRedundancy();
     publishStateLag();
+    m_logBytes = m_log.entries().commandBytes();
     for (const auto& [name, link] : m_links)
         link->wake();
     // Keeps the timer at the log's deadline, so that it fires only when something is due.
@@ -226,7 +227,10 @@
     if (!redundancy)
         return;
     const bool complete = redundancy->responding == redundancy->voters;
-    clementinesill::log(complete ? LogLevel::Info : LogLevel::Warn, "group_redundancy", { { .key = "voters", .value = std::to_string(redundancy->voters) }, { .key = "responding", .value = std::to_string(redundancy->responding) }, { .key = "learners", .value = std::to_string(redundancy->learners) }, { .key = "tolerable_losses", .value = std::to_string(redundancy->tolerableLosses) } });
+    std::string silentVoters;
+    for (const auto& name : m_log.silentVoters())
+        silentVoters += (silentVoters.empty() ? "" : ", ") + name;
+    clementinesill::log(complete ? LogLevel::Info : LogLevel::Warn, "group_redundancy", { { .key = "voters", .value = std::to_string(redundancy->voters) }, { .key = "responding", .value = std::to_string(redundancy->responding) }, { .key = "learners", .value = std::to_string(redundancy->learners) }, { .key = "tolerable_losses", .value = std::to_string(redundancy->tolerableLosses) }, { .key = "not_responding", .value = silentVoters } });
 }
 
 // Logs when this follower begins to lack changes that the leader has committed, for example because its disk is full, and when it
@@ -250,6 +254,8 @@
     m_metrics.describe("tolerable_losses", "voting controllers that the group could lose now and still have a majority; -1 unless this controller leads");
     m_metrics.describe("state_lag_seconds", "how long this controller has lacked changes that the leader has committed");
     m_metrics.addGauge("state_lag_seconds", {}, [this] { return m_stateLagSeconds.load(); });
+    m_metrics.describe("log_entry_bytes", "size of the log entries that this controller holds in memory");
+    m_metrics.addGauge("log_entry_bytes", {}, [this] { return static_cast<double>(m_logBytes); });
     m_metrics.addGauge("tolerable_losses", {}, [this] { return static_cast<double>(m_tolerableLosses); });
 }
 
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -107,6 +107,7 @@
     std::atomic<int> m_tolerableLosses = -1;
     // Read by the thread that renders the metrics.
     std::atomic<double> m_stateLagSeconds = 0;
+    std::atomic<std::size_t> m_logBytes = 0;
     bool m_reportedStateLag = false;
 };
 
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -63,7 +63,7 @@
         const auto& member = m_log.membership()->members(index);
         members += (index ? ", " : "") + member.name() + "/" + std::to_string(member.disk_identity());
     }
-    log(LogLevel::Info, "log_opened", { { .key = "disk_identity", .value = std::to_string(m_diskIdentity) }, { .key = "term", .value = std::to_string(m_vote.term()) }, { .key = "voted_for", .value = m_vote.voted_for() }, { .key = "snapshot_index", .value = std::to_string(m_log.snapshot().last_index()) }, { .key = "last_index", .value = std::to_string(m_log.lastIndex()) }, { .key = "last_term", .value = std::to_string(m_log.lastTerm()) }, { .key = "members", .value = members } });
+    log(LogLevel::Info, "log_opened", { { .key = "disk_identity", .value = std::to_string(m_diskIdentity) }, { .key = "term", .value = std::to_string(m_vote.term()) }, { .key = "voted_for", .value = m_vote.voted_for() }, { .key = "snapshot_index", .value = std::to_string(m_log.snapshot().last_index()) }, { .key = "last_index", .value = std::to_string(m_log.lastIndex()) }, { .key = "last_term", .value = std::to_string(m_log.lastTerm()) }, { .key = "entry_bytes", .value = std::to_string(m_log.commandBytes()) }, { .key = "members", .value = members } });
 }
 
 ReplicaRole ReplicatedLog::role() const
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -59,6 +59,9 @@
     // Empty unless this controller is a leader with a valid lease.
     std::optional<GroupRedundancy> redundancy() const;
 
+    // Names of the voters that have not responded to this leader within the shortest election timeout; empty on other controllers.
+    std::vector<std::string> silentVoters() const;
+
     // How long this controller has not applied everything that the leader it hears has committed; zero if it has, or if it hears
     // no leader with a valid lease.
     Duration stateLag() const;
