--- a/src/control/tests/controllermodule.cpp
+++ b/src/control/tests/controllermodule.cpp
@@ -7,6 +7,7 @@
 #include "fleet/itablesource.h"
 #include "foundation/metrics.h"
 #include "settings.pb.h"
+#include "tests/temporaryfolder.h"
 
 #include <CppUTest/TestHarness.h>
 #include <array>
@@ -43,25 +44,6 @@
     return false;
 }
 
-// Temporary folder that is removed with the object.
-class TemporaryFolder {
-public:
-    TemporaryFolder()
-    {
-        std::string pattern = std::filesystem::temp_directory_path() / "control-XXXXXX";
-        m_path = mkdtemp(pattern.data());
-    }
-
-    ~TemporaryFolder() { std::filesystem::remove_all(m_path); }
-    TemporaryFolder(const TemporaryFolder&) = delete;
-    TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-
-    const std::string& path() const { return m_path; }
-
-private:
-    std::string m_path;
-};
-
 // Runs the controllers of one group in the test process.
 class Controllers {
 public:
