Let a controller's storage recover from any refused operation

Cause: LogStorage noted the temporary file of a replacement as abandoned before it was created. If the disk refused the creation, each later replacement began by removing a file that does not exist, which fails. The controller could never store a vote or a term again, so it kept its place among the voters without a vote until its process ended. Class of fault: the storage acts on what it remembers of the folder instead of on what the folder contains. The same would have followed from a removal or a renaming that took effect although it was reported as failed; the latter would also have left a wrong size of the log, to which a later refused write truncates it.

Change: a replacement that fails is resolved by listing the folder before the next write: its temporary file is removed if it is there; if it is gone after a renaming was tried, the replacement counts as done.

Why no test showed it: FakeFileSystem created the file that it refused, and removed files that do not exist without an error. It now behaves as a file system does.

--- a/src/control/internal/logstorage.cpp
+++ b/src/control/internal/logstorage.cpp
@@ -23,6 +23,11 @@
         "keep a copy for analysis, empty the data folder and restart the controller; it then rejoins the group and receives the state from the leader");
 }
 
+std::string temporaryName(const std::string& name)
+{
+    return name + temporarySuffix;
+}
+
 // Appends an entry during replay. An entry whose index is already present replaces that entry and all after it.
 void replayEntry(std::vector<schema::LogEntry>& entries, const schema::LogEntry& entry)
 {
@@ -129,6 +134,7 @@
     schema::LogFrame frame;
     frame.mutable_entries()->Assign(entries.begin(), entries.end());
     const auto bytes = encodeFrame(frame.SerializeAsString());
+    resolveFailedReplacement();
     syncFolderIfChanged();
     // The failed write may have left a whole record that is in memory only, which a later sync would not write.
     if (m_logHasFailedWrite)
@@ -151,29 +157,46 @@
 {
     schema::LogFrame frame;
     frame.mutable_entries()->Assign(entries.begin(), entries.end());
-    m_logBytes = replaceFile(logFile, frame.SerializeAsString());
-    m_logHasFailedWrite = false;
+    replaceFile(logFile, frame.SerializeAsString());
     syncFolderIfChanged();
 }
 
-std::uint64_t LogStorage::replaceFile(const char* name, std::string_view payload)
+void LogStorage::replaceFile(const char* name, std::string_view payload)
 {
-    const std::string temporary = std::string(name) + temporarySuffix;
+    resolveFailedReplacement();
     const auto bytes = encodeFrame(payload);
-    writeTemporary(temporary, bytes);
+    const auto temporary = temporaryName(name);
+    m_replacement = { .name = name, .size = bytes.size() };
+    m_files.append(temporary, bytes);
+    m_files.sync(temporary);
+    m_replacement->mayBeRenamed = true;
     m_files.rename(temporary, name);
-    m_abandonedFiles.erase(temporary);
+    completeReplacement();
+}
+
+void LogStorage::completeReplacement()
+{
     m_folderChanged = true;
-    return bytes.size();
+    if (m_replacement->name == logFile) {
+        m_logBytes = m_replacement->size;
+        m_logHasFailedWrite = false;
+    }
+    m_replacement.reset();
 }
 
-void LogStorage::writeTemporary(const std::string& temporary, std::string_view bytes)
+void LogStorage::resolveFailedReplacement()
 {
-    if (m_abandonedFiles.contains(temporary))
+    if (!m_replacement)
+        return;
+    const auto names = m_files.list();
+    const auto temporary = temporaryName(m_replacement->name);
+    if (std::find(names.begin(), names.end(), temporary) != names.end()) {
+        m_replacement->mayBeRenamed = false;
         m_files.remove(temporary);
-    m_abandonedFiles.insert(temporary);
-    m_files.append(temporary, bytes);
-    m_files.sync(temporary);
+    }
+    if (m_replacement->mayBeRenamed)
+        completeReplacement();
+    m_replacement.reset();
 }
 
 void LogStorage::syncFolderIfChanged()
--- a/src/control/logstorage.h
+++ b/src/control/logstorage.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -31,12 +30,21 @@
     void saveSnapshot(const schema::SnapshotRecord& snapshot, std::span<const schema::LogEntry> kept) override;
 
 private:
+    struct Replacement {
+        std::string name;
+        std::uint64_t size = 0;
+        // The temporary file may already have its final name.
+        bool mayBeRenamed = false;
+    };
+
     std::uint64_t loadOrCreateIdentity();
     std::vector<schema::LogEntry> readLog(const schema::SnapshotRecord& snapshot);
     void rewriteLog(std::span<const schema::LogEntry> entries);
-    // Replaces the file atomically. Returns the new size in bytes.
-    std::uint64_t replaceFile(const char* name, std::string_view payload);
-    void writeTemporary(const std::string& temporary, std::string_view bytes);
+    // Replaces the file atomically.
+    void replaceFile(const char* name, std::string_view payload);
+    void completeReplacement();
+    // Completes or undoes the replacement that failed last, by what the folder contains.
+    void resolveFailedReplacement();
     void syncFolderIfChanged();
     std::optional<std::string> readFile(const char* name);
 
@@ -47,8 +55,8 @@
     bool m_logHasFailedWrite = false;
     // A renamed file may not be durable under its new name.
     bool m_folderChanged = false;
-    // Temporary files of writes that failed.
-    std::set<std::string> m_abandonedFiles;
+    // Set while a file is being replaced, and after an error until the folder shows whether it took effect.
+    std::optional<Replacement> m_replacement;
 };
 
 } // namespace clementinesill::control
--- a/src/control/tests/fakefilesystem.h
+++ b/src/control/tests/fakefilesystem.h
@@ -17,7 +17,7 @@
     // The write with this number and all later ones throw PowerLoss; 0 for never.
     std::uint64_t powerLossAt = 0;
     std::uint64_t writes = 0;
-    // While set, the disk takes no more bytes: an append writes a part and fails, and a sync fails.
+    // While set, the disk takes no more bytes: it creates no file, an append writes a part and fails, and a sync fails.
     bool full = false;
     // The same for the writes from the first number up to the second, exclusive.
     std::pair<std::uint64_t, std::uint64_t> refusedWrites;
@@ -38,6 +38,10 @@
 
     void append(const std::string& name, std::string_view bytes) override
     {
+        if (refusesWrite() && !m_names.contains(name)) {
+            countWrite();
+            throwFull();
+        }
         auto& file = m_names[name];
         if (!file)
             file = std::make_shared<File>();
@@ -76,7 +80,8 @@
     void remove(const std::string& name) override
     {
         countWrite();
-        m_names.erase(name);
+        if (!m_names.erase(name))
+            throw clementinesill::Error(clementinesill::ErrorKind::Storage, "cannot remove '" + name + "': no such file", "check the folder");
     }
 
     void syncFolder() override
