Compact the replicated log by its size, not only by its number of entries

Each change of the configuration is an entry with the whole text and all routes, some 0.2 MB here, so that the disk of 128 MB was full, or the memory of 256 MB exceeded at a start, long before. Class: a limit in numbers of things whose size the callers choose.

A file is read into one string of its size instead of through a stream that copies it.

--- a/src/control/entrylog.h
+++ b/src/control/entrylog.h
@@ -57,15 +57,17 @@
     // Index of the entry with the latest membership; 0 if there is none.
     std::uint64_t membershipIndex() const;
 
-    // Makes a snapshot of the state at the index durable and discards the entries up to the index, except the last
-    // trailingEntries of them, which are kept for followers that lag.
-    void compact(std::uint64_t index, std::string state, std::size_t trailingEntries);
+    // Makes a snapshot of the state at the index durable and discards the entries up to the index, except the last ones, which are
+    // kept for followers that lag: at most trailingEntries, of trailingBytes altogether.
+    void compact(std::uint64_t index, std::string state, std::size_t trailingEntries, std::size_t trailingBytes);
 
     // Replaces the state by a leader's snapshot. Entries after it are kept only if the log holds the snapshot's last entry.
     void installSnapshot(schema::SnapshotRecord snapshot);
 
 private:
     void truncateFrom(std::uint64_t index);
+    // Index before the entries to keep up to the given one.
+    std::uint64_t baseBefore(std::uint64_t index, std::size_t trailingEntries, std::size_t trailingBytes) const;
     void discardUpTo(std::uint64_t index);
     void recordMembership(const schema::LogEntry& entry);
 
--- a/src/control/internal/entrylog.cpp
+++ b/src/control/internal/entrylog.cpp
@@ -108,7 +108,7 @@
     return m_memberships.empty() ? 0 : m_memberships.back().first;
 }
 
-void EntryLog::compact(std::uint64_t index, std::string state, std::size_t trailingEntries)
+void EntryLog::compact(std::uint64_t index, std::string state, std::size_t trailingEntries, std::size_t trailingBytes)
 {
     schema::SnapshotRecord snapshot;
     snapshot.set_last_index(index);
@@ -118,7 +118,7 @@
             *snapshot.mutable_membership() = membership;
     }
     snapshot.set_state(std::move(state));
-    const auto base = std::max(m_baseIndex, index > trailingEntries ? index - trailingEntries : 0);
+    const auto base = baseBefore(index, trailingEntries, trailingBytes);
     // Stored first: the entries stay in memory if that fails.
     m_storage.saveSnapshot(snapshot, entriesFrom(base + 1, static_cast<std::size_t>(-1)));
     discardUpTo(base);
@@ -126,6 +126,15 @@
     m_snapshot = std::move(snapshot);
 }
 
+std::uint64_t EntryLog::baseBefore(std::uint64_t index, std::size_t trailingEntries, std::size_t trailingBytes) const
+{
+    const auto lowest = std::max(m_baseIndex, index > trailingEntries ? index - trailingEntries : 0);
+    std::size_t bytes = 0;
+    while (index > lowest && (bytes += at(index).command().size()) <= trailingBytes)
+        --index;
+    return index;
+}
+
 void EntryLog::discardUpTo(std::uint64_t index)
 {
     m_baseTerm = *termAt(index);
--- a/src/control/internal/posixfilesystem.cpp
+++ b/src/control/internal/posixfilesystem.cpp
@@ -7,7 +7,6 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <sys/file.h>
 #include <unistd.h>
 
@@ -49,12 +48,16 @@
 {
     if (::access(path(name).c_str(), F_OK) != 0)
         return std::nullopt;
-    std::ifstream file(path(name), std::ios::binary);
-    std::ostringstream content;
-    content << file.rdbuf();
+    std::ifstream file(path(name), std::ios::binary | std::ios::ate);
+    const auto size = file.tellg();
     if (!file)
         fail("read", name);
-    return std::move(content).str();
+    std::string content(static_cast<std::size_t>(size), '\0');
+    file.seekg(0);
+    file.read(content.data(), size);
+    if (!file)
+        fail("read", name);
+    return content;
 }
 
 void PosixFileSystem::append(const std::string& name, std::string_view bytes)
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -294,8 +294,17 @@
 {
     while (m_appliedIndex < m_commitIndex)
         m_machine.apply(m_log.at(++m_appliedIndex));
-    if (m_appliedIndex - m_log.snapshot().last_index() >= m_options.snapshotEntries)
-        m_log.compact(m_appliedIndex, m_machine.snapshot(), m_options.trailingEntries);
+    if (needsSnapshot())
+        m_log.compact(m_appliedIndex, m_machine.snapshot(), m_options.trailingEntries, m_options.trailingBytes);
+}
+
+bool ReplicatedLog::needsSnapshot() const
+{
+    const auto& snapshot = m_log.snapshot();
+    const auto appliedSince = m_appliedIndex - snapshot.last_index();
+    // A state that is larger than the limit is not written again before the log has grown by as much.
+    const auto maximumBytes = std::max(m_options.snapshotBytes, m_options.trailingBytes + snapshot.state().size());
+    return appliedSince >= m_options.snapshotEntries || (appliedSince && m_log.commandBytes() >= maximumBytes);
 }
 
 std::vector<ReplicaPeer> ReplicatedLog::peers() const
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -138,6 +138,7 @@
     MonotonicTime stepDownDeadline() const;
     void stepDown(const char* reason);
     void applyCommitted();
+    bool needsSnapshot() const;
     void appendEntry(const std::string& command, bool membership);
 
     // Membership changes.
--- a/src/control/types/replicatedlogoptions.h
+++ b/src/control/types/replicatedlogoptions.h
@@ -38,6 +38,11 @@
     std::uint64_t snapshotEntries = 4096;
     // Number of entries kept before a snapshot for followers that lag.
     std::size_t trailingEntries = 512;
+    // Size of the entries in memory, in bytes, from which a snapshot is made although there are fewer than snapshotEntries. A restart
+    // needs several times as much memory, and replacing the log as much space on the disk again.
+    std::size_t snapshotBytes = 16 << 20;
+    // Size of the entries kept before a snapshot, in bytes.
+    std::size_t trailingBytes = 4 << 20;
     std::size_t maxBatchBytes = 1 << 20;
 };
 
