Leave invalid records out of a table instead of rejecting the whole table

Report of another operator: after one odd entry the machines that read the list stopped following it.

Cause here: FleetTable threw at the first service, route or server that it could not use, and the daemon kept its old table, for as long as the record stayed. What is stored once reaches every daemon, also those of an older build and after a restart, so that one record of a newer build or of a check that was missing then would have cost all routes and servers.

Each invalid record is left out and logged as table_record_ignored; the others take effect. The event table_refused no longer exists.

--- a/src/fleet/fleettable.h
+++ b/src/fleet/fleettable.h
@@ -11,8 +11,11 @@
 #include <vector>
 
 namespace clementinesill::schema {
+class Route;
+class Server;
+class Service;
 class Table;
-}
+} // namespace clementinesill::schema
 
 namespace clementinesill::fleet {
 
@@ -21,7 +24,7 @@
 public:
     FleetTable() = default;
 
-    // Throws Error (Malformed) if a record is invalid.
+    // Records that this program cannot use are left out and logged; the others take effect.
     explicit FleetTable(const schema::Table& table);
 
     std::uint64_t version() const { return m_version; }
@@ -48,6 +51,12 @@
     std::uint64_t documentVersion() const { return m_documentVersion; }
 
 private:
+    void addService(const schema::Service& record);
+    void addRoute(const schema::Route& record);
+    // Throws Error (Malformed) if the service is not in the table.
+    void addServer(const schema::Server& record);
+    void indexServers();
+
     std::uint64_t m_version = 0;
     std::uint64_t m_hashSeed = 0;
     std::uint64_t m_documentVersion = 0;
--- a/src/fleet/internal/fleettable.cpp
+++ b/src/fleet/internal/fleettable.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet.pb.h"
 #include "foundation/error.h"
+#include "foundation/log.h"
 
 #include <algorithm>
 
@@ -58,6 +59,19 @@
     };
 }
 
+// Adds each record; logs those that are invalid, so that one of them does not cost the others.
+template <typename Records, typename Add>
+void addValidRecords(const Records& records, const char* kind, Add add)
+{
+    for (const auto& record : records) {
+        try {
+            add(record);
+        } catch (const Error& error) {
+            log(LogLevel::Error, "table_record_ignored", { { .key = "kind", .value = kind }, { .key = "name", .value = record.name() }, { .key = logkey::reason, .value = error.problem() } });
+        }
+    }
+}
+
 } // namespace
 
 FleetTable::FleetTable(const schema::Table& table)
@@ -67,36 +81,51 @@
 {
     for (const auto& zone : table.zones())
         m_zoneIsOut[zone.name()] = zone.state() == schema::ZONE_STATE_OUT;
-    for (const auto& record : table.services()) {
-        m_byId[record.id()] = m_services.size();
-        m_services.push_back(serviceEntry(record));
-        if (!record.address().empty())
-            m_byEndpoint[endpointKey(m_services.back().endpoint, m_services.back().protocol)] = m_services.size() - 1;
-    }
-    for (const auto& record : table.routes()) {
-        auto entry = routeEntry(record);
-        m_routes[entry.endpoint] = std::move(entry);
-    }
-    for (const auto& record : table.servers()) {
-        const auto found = m_byId.find(record.service_id());
-        if (found == m_byId.end())
-            throw Error(ErrorKind::Malformed, "server " + std::to_string(record.id()) + " belongs to no service of the table", "report this as a bug; the daemon keeps its current table");
-        m_newestServerId = std::max(m_newestServerId, record.id());
-        m_hasSilentServer = m_hasSilentServer || record.state() == schema::SERVER_STATE_SILENT;
-        m_services[found->second].servers.push_back({
-            .id = record.id(),
-            .incarnation = record.incarnation(),
-            .serviceId = record.service_id(),
-            .agent = parseEndpoint(record.agent_endpoint()),
-            .weight = std::max(1U, record.weight()),
-            .slots = record.slots(),
-            .draining = record.state() == schema::SERVER_STATE_DRAINING,
-            .silent = record.state() == schema::SERVER_STATE_SILENT,
-            .zoneOut = zoneOut(record.zone()),
-            .zone = record.zone(),
-            .name = record.name(),
-        });
-    }
+    addValidRecords(table.services(), "service", [this](const auto& record) { addService(record); });
+    addValidRecords(table.routes(), "route", [this](const auto& record) { addRoute(record); });
+    addValidRecords(table.servers(), "server", [this](const auto& record) { addServer(record); });
+    indexServers();
+}
+
+void FleetTable::addService(const schema::Service& record)
+{
+    auto entry = serviceEntry(record);
+    m_byId[record.id()] = m_services.size();
+    if (!record.address().empty())
+        m_byEndpoint[endpointKey(entry.endpoint, entry.protocol)] = m_services.size();
+    m_services.push_back(std::move(entry));
+}
+
+void FleetTable::addRoute(const schema::Route& record)
+{
+    auto entry = routeEntry(record);
+    m_routes[entry.endpoint] = std::move(entry);
+}
+
+void FleetTable::addServer(const schema::Server& record)
+{
+    const auto found = m_byId.find(record.service_id());
+    if (found == m_byId.end())
+        throw Error(ErrorKind::Malformed, "server " + std::to_string(record.id()) + " belongs to no service of the table", "report this as a bug");
+    m_services[found->second].servers.push_back({
+        .id = record.id(),
+        .incarnation = record.incarnation(),
+        .serviceId = record.service_id(),
+        .agent = parseEndpoint(record.agent_endpoint()),
+        .weight = std::max(1U, record.weight()),
+        .slots = record.slots(),
+        .draining = record.state() == schema::SERVER_STATE_DRAINING,
+        .silent = record.state() == schema::SERVER_STATE_SILENT,
+        .zoneOut = zoneOut(record.zone()),
+        .zone = record.zone(),
+        .name = record.name(),
+    });
+    m_newestServerId = std::max(m_newestServerId, record.id());
+    m_hasSilentServer = m_hasSilentServer || record.state() == schema::SERVER_STATE_SILENT;
+}
+
+void FleetTable::indexServers()
+{
     for (std::size_t index = 0; index < m_services.size(); ++index) {
         auto& servers = m_services[index].servers;
         std::sort(servers.begin(), servers.end(), [](const auto& left, const auto& right) { return left.id < right.id; });
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -302,12 +302,8 @@
 
 void GrpcFleetClient::publishTable()
 {
-    try {
-        m_holder.replaceIfNewer(std::make_shared<const FleetTable>(m_table));
-        log(LogLevel::Info, "table_taken", { { .key = "version", .value = std::to_string(m_table.version()) } });
-    } catch (const Error& error) {
-        log(LogLevel::Error, "table_refused", { { .key = "version", .value = std::to_string(m_table.version()) }, { .key = "reason", .value = error.what() } });
-    }
+    m_holder.replaceIfNewer(std::make_shared<const FleetTable>(m_table));
+    log(LogLevel::Info, "table_taken", { { .key = "version", .value = std::to_string(m_table.version()) } });
 }
 
 void GrpcFleetClient::pause(Duration duration)
