Skip entries of the replicated log that cannot be parsed

Found while looking for the report of an odd entry: an evacuation of a zone whose name is not UTF-8 is serialized, replicated and committed, but cannot be parsed.

Changes that cannot be parsed back are answered with CODE_INVALID before they reach the log. An entry that is in the log already is skipped by every controller alike and logged as entry_ignored, so that the states stay the same.

--- a/src/control/internal/fleetstatemachine.cpp
+++ b/src/control/internal/fleetstatemachine.cpp
@@ -1,25 +1,20 @@
 #include "control/internal/fleetstatemachine.h"
 
 #include "foundation/error.h"
+#include "foundation/log.h"
 
 namespace clementinesill::control {
 
-namespace {
-
-[[noreturn]] void throwMalformed(const std::string& subject)
-{
-    throw Error(ErrorKind::Malformed, subject + " cannot be parsed", "run the same version of the program on all controllers");
-}
-
-} // namespace
-
 void FleetStateMachine::apply(const schema::LogEntry& entry)
 {
     schema::Command command;
-    if (!command.ParseFromString(entry.command()))
-        throwMalformed("entry " + std::to_string(entry.index()));
-    const auto result = m_state.apply(command);
-    m_listener(entry.index(), entry.term(), result);
+    if (command.ParseFromString(entry.command())) {
+        m_listener(entry.index(), entry.term(), m_state.apply(command));
+        return;
+    }
+    // Every controller skips the same entries, so their states stay the same; a controller that ended here would end at each start.
+    log(LogLevel::Error, "entry_ignored", { { .key = "index", .value = std::to_string(entry.index()) }, { .key = logkey::reason, .value = "it cannot be parsed" } });
+    m_listener(entry.index(), entry.term(), { .code = schema::Outcome::CODE_INVALID, .message = "the change cannot be parsed; use UTF-8 in all names" });
 }
 
 std::string FleetStateMachine::snapshot() const
@@ -31,7 +26,7 @@
 {
     schema::FleetSnapshot parsed;
     if (!parsed.ParseFromArray(snapshot.data(), static_cast<int>(snapshot.size())))
-        throwMalformed("the snapshot");
+        throw Error(ErrorKind::Malformed, "the snapshot cannot be parsed", "run the same version of the program on all controllers");
     m_state.restore(parsed);
 }
 
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -108,7 +108,11 @@
 
 awaitable<CommandResult> ReplicatedCommandLog::submit(schema::Command command)
 {
-    const auto proposal = m_stopping ? Proposal { .reason = "this controller is shutting down" } : m_log.propose(command.SerializeAsString());
+    const auto serialized = command.SerializeAsString();
+    // A name that is not UTF-8 can be serialized but not parsed.
+    if (!schema::Command().ParseFromString(serialized))
+        co_return CommandResult { .code = schema::Outcome::CODE_INVALID, .message = "the change cannot be parsed; use UTF-8 in all names" };
+    const auto proposal = m_stopping ? Proposal { .reason = "this controller is shutting down" } : m_log.propose(serialized);
     if (!proposal.index) {
         const bool lacksQuorum = m_log.role() == ReplicaRole::Leader && !m_stopping;
         CommandResult rejected;
