Replace a controller that is stopped as planned at once

Cause: a controller that got SIGTERM kept its vote until it had been silent for the absence timeout of 1.5 s, and a new leader also waited 0.7 s before it believed any absence. For that time the group of five had four voters that run.

Change: a controller that is stopped ceases to lead and announces the stop to all others (Peers.LeaveGroup), which wait at most 0.3 s. A learner that holds the log takes its place without waiting for a timeout; if the leader stops, its followers elect another one without waiting for a lease that it no longer uses. After the announcement it acknowledges nothing, since an acknowledgement clears the mark. Without a waiting learner it keeps its vote, so that a restart changes nothing.

--- a/src/control/absencetracker.h
+++ b/src/control/absencetracker.h
@@ -2,6 +2,7 @@
 
 #include "foundation/iclock.h"
 
+#include <chrono>
 #include <map>
 #include <string>
 
@@ -27,9 +28,19 @@
 
     MonotonicTime lastResponse(const std::string& name) const;
 
+    // Records that a controller is being stopped and need not be waited for.
+    void recordDeparture(const std::string& name, MonotonicTime now);
+
+    // Whether the controller has announced that it stops, and has not responded to a message that was sent after that.
+    bool hasDeparted(const std::string& name, MonotonicTime now) const;
+
 private:
+    // The announcement reaches all controllers, those that lead later among them, but not the news that the stopped one is back.
+    static constexpr auto departureLifetime = std::chrono::seconds(5);
+
     MonotonicTime m_defaultTime;
     std::map<std::string, MonotonicTime> m_lastResponses;
+    std::map<std::string, MonotonicTime> m_departures;
 };
 
 } // namespace clementinesill::control
--- a/src/control/internal/controllermodule.cpp
+++ b/src/control/internal/controllermodule.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/use_future.hpp>
 #include <thread>
 
 namespace clementinesill::control {
@@ -94,16 +95,20 @@
             return;
         if (m_operatorListener)
             m_operatorListener->stop();
-        boost::asio::post(m_context, [this] {
-            m_controller.stop();
-            m_log.stop();
-        });
+        // The server still responds meanwhile, as the calls of the controllers that are elected now would otherwise fail.
+        boost::asio::co_spawn(m_context, leave(), boost::asio::use_future).wait();
         m_server->Shutdown(std::chrono::system_clock::now() + shutdownTimeout);
         m_workGuard.reset();
         m_thread.join();
     }
 
 private:
+    boost::asio::awaitable<void> leave()
+    {
+        co_await m_log.leaveAndStop();
+        m_controller.stop();
+    }
+
     static ControllerOptions controllerOptions(const schema::DaemonSettings& settings)
     {
         const auto lease = settings.controller().server_lease_ms();
--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -75,6 +75,13 @@
     m_electionDeadline = m_clock.now() + m_options.minElectionTimeout + Duration(static_cast<Duration::rep>(extra));
 }
 
+// For followers whose leader has stepped down, so that its lease need not expire first. The spread lets one of them win.
+void ReplicatedLog::startElectionSoon()
+{
+    const auto spread = m_options.maxElectionTimeout - m_options.minElectionTimeout;
+    m_electionDeadline = m_clock.now() + Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>(spread.count()) / 4 + 1)));
+}
+
 // Returns the term of the last log entry if this controller was the leader that wrote it and has seen no later term,
 // otherwise 0. Leases of leaders of earlier terms had expired when it was elected for that term, and its own lease ended
 // when it ceased to be the leader, before it requests votes.
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -228,6 +228,10 @@
 
 const schema::Member* ReplicatedLog::absentMember() const
 {
+    for (const auto& member : m_log.membership()->members()) {
+        if (member.name() != m_options.name && m_absences.hasDeparted(member.name(), m_clock.now()))
+            return &member;
+    }
     // Every controller that is reachable has had time to respond to this leader.
     if (m_leaderSince + m_options.maxElectionTimeout > m_clock.now())
         return nullptr;
@@ -249,7 +253,7 @@
     if (const auto* absent = absentMember()) {
         if (!hasQuorumWithout(absent->name()))
             return false;
-        removeMember(absent->name(), "it has not responded for too long and a learner has taken its place");
+        removeMember(absent->name(), m_absences.hasDeparted(absent->name(), m_clock.now()) ? "it is being stopped and a learner has taken its place" : "it has not responded for too long and a learner has taken its place");
         return true;
     }
     const auto& members = m_log.membership()->members();
--- a/src/control/internal/peerservice.cpp
+++ b/src/control/internal/peerservice.cpp
@@ -34,6 +34,11 @@
     return dispatch(call, request, response, &ReplicatedLog::onJoin);
 }
 
+grpc::ServerUnaryReactor* PeerService::LeaveGroup(grpc::CallbackServerContext* call, const schema::LeaveGroupRequest* request, schema::LeaveGroupResponse* response)
+{
+    return dispatch(call, request, response, &ReplicatedLog::onLeaveGroup);
+}
+
 grpc::ServerUnaryReactor* PeerService::Describe(grpc::CallbackServerContext* call, const schema::DescribeRequest* request, schema::DescribeResponse* response)
 {
     return dispatch(call, request, response, &ReplicatedLog::onDescribe);
--- a/src/control/internal/peerservice.h
+++ b/src/control/internal/peerservice.h
@@ -22,6 +22,7 @@
     grpc::ServerUnaryReactor* Append(grpc::CallbackServerContext* call, const schema::AppendRequest* request, schema::AppendResponse* response) override;
     grpc::ServerUnaryReactor* InstallSnapshot(grpc::CallbackServerContext* call, const schema::SnapshotRequest* request, schema::SnapshotResponse* response) override;
     grpc::ServerUnaryReactor* Join(grpc::CallbackServerContext* call, const schema::JoinRequest* request, schema::JoinResponse* response) override;
+    grpc::ServerUnaryReactor* LeaveGroup(grpc::CallbackServerContext* call, const schema::LeaveGroupRequest* request, schema::LeaveGroupResponse* response) override;
     grpc::ServerUnaryReactor* Describe(grpc::CallbackServerContext* call, const schema::DescribeRequest* request, schema::DescribeResponse* response) override;
 
 private:
--- a/src/control/internal/replicatedcommandlog.cpp
+++ b/src/control/internal/replicatedcommandlog.cpp
@@ -1,5 +1,6 @@
 #include "control/internal/replicatedcommandlog.h"
 
+#include "control/internal/peercall.h"
 #include "foundation/histogram.h"
 #include "foundation/log.h"
 #include "foundation/metrics.h"
@@ -23,6 +24,8 @@
 constexpr auto firstElectionTimeout = std::chrono::seconds(3);
 // Timeout for committing a command; its outcome is reported as unknown after that.
 constexpr auto submitTimeout = std::chrono::seconds(4);
+// Time limit for the announcement of a stop.
+constexpr auto leaveTimeout = std::chrono::milliseconds(300);
 // A state that is older than this is logged. Committed changes normally arrive within milliseconds.
 constexpr auto stateLagThreshold = std::chrono::milliseconds(500);
 
@@ -47,6 +50,7 @@
     , m_log(options, clock, m_random, m_monitoredStorage, m_machine)
     , m_credentials(credentials)
     , m_deadlineWakeup(context)
+    , m_announced(context)
     , m_firstElectionDeadline(clock.now() + firstElectionTimeout)
 {
     if (seeds)
@@ -77,6 +81,34 @@
     }
 }
 
+awaitable<void> ReplicatedCommandLog::leaveAndStop()
+{
+    co_await announceLeave();
+    stop();
+}
+
+awaitable<void> ReplicatedCommandLog::announceLeave()
+{
+    const auto request = m_log.leaveGroup();
+    processLogEvent();
+    for (const auto& peer : m_log.peers()) {
+        ++m_pendingAnnouncements;
+        co_spawn(m_context, sendLeave(peer.endpoint, request), detached);
+    }
+    if (m_pendingAnnouncements)
+        co_await m_announced.wait(leaveTimeout);
+}
+
+awaitable<void> ReplicatedCommandLog::sendLeave(std::string endpoint, schema::LeaveGroupRequest request)
+{
+    const auto stub = peerStub(endpoint, m_credentials);
+    const bool cancel = false;
+    if (!co_await callPeer<schema::LeaveGroupResponse>(m_context, *stub, &schema::Peers::Stub::async_interface::LeaveGroup, request, leaveTimeout, cancel))
+        clementinesill::log(LogLevel::Info, "leave_not_announced", { { .key = "controller", .value = endpoint } });
+    if (!--m_pendingAnnouncements)
+        m_announced.wake();
+}
+
 void ReplicatedCommandLog::stop()
 {
     m_stopping = true;
--- a/src/control/internal/replicatedcommandlog.h
+++ b/src/control/internal/replicatedcommandlog.h
@@ -28,7 +28,8 @@
     // Starts the coroutines of the log and of each peer. onChange is called after the state or the leadership may have
     // changed.
     void start(std::function<void()> onChange);
-    void stop();
+    // Announces the stop to the other controllers, then ends the coroutines.
+    boost::asio::awaitable<void> leaveAndStop();
 
     boost::asio::awaitable<CommandResult> submit(schema::Command command) override;
     bool hasValidLease() const override { return m_log.hasValidLease(); }
@@ -63,6 +64,9 @@
     void onApplied(std::uint64_t index, std::uint64_t term, const CommandResult& result);
     void scheduleFlush();
     void createPeerLinks();
+    boost::asio::awaitable<void> announceLeave();
+    boost::asio::awaitable<void> sendLeave(std::string endpoint, schema::LeaveGroupRequest request);
+    void stop();
     void processLogEvent();
     void publishChanges();
     void logLeadershipChanges(bool hasValidLease, bool hasLeader);
@@ -93,6 +97,9 @@
     MonotonicTime m_nextWakeup = MonotonicTime::min();
     std::function<void()> m_onChange;
     bool m_stopping = false;
+    // Announcements of the stop that have no response yet.
+    std::size_t m_pendingAnnouncements = 0;
+    Wakeup m_announced;
     bool m_flushScheduled = false;
     bool m_initializingFleet = false;
     std::uint64_t m_publishedVersion = 0;
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -175,6 +175,7 @@
 
 schema::AppendResponse ReplicatedLog::onAppend(const schema::AppendRequest& request)
 {
+    rejectIfLeaving();
     schema::AppendResponse response;
     response.set_disk_identity(m_diskIdentity);
     if (request.term() < m_vote.term()) {
@@ -223,6 +224,7 @@
 
 schema::SnapshotResponse ReplicatedLog::onSnapshot(const schema::SnapshotRequest& request)
 {
+    rejectIfLeaving();
     schema::SnapshotResponse response;
     response.set_disk_identity(m_diskIdentity);
     if (request.term() < m_vote.term()) {
@@ -341,6 +343,39 @@
     return response;
 }
 
+// An acknowledgement would tell the leader that this controller stays.
+void ReplicatedLog::rejectIfLeaving() const
+{
+    if (m_leaving)
+        throw Error(ErrorKind::Unavailable, "this controller is being stopped", "send the log again once it has restarted");
+}
+
+schema::LeaveGroupRequest ReplicatedLog::leaveGroup()
+{
+    m_leaving = true;
+    if (m_role == ReplicaRole::Leader)
+        stepDown("it is being stopped");
+    schema::LeaveGroupRequest request;
+    request.set_name(m_options.name);
+    request.set_endpoint(m_options.endpoint);
+    request.set_term(m_vote.term());
+    return request;
+}
+
+schema::LeaveGroupResponse ReplicatedLog::onLeaveGroup(const schema::LeaveGroupRequest& request)
+{
+    m_absences.recordDeparture(request.name(), m_clock.now());
+    const bool wasLeader = m_role == ReplicaRole::Follower && request.term() == m_vote.term() && request.endpoint() == m_leaderEndpoint;
+    log(LogLevel::Info, "controller_leaves", { { .key = "controller", .value = request.name() }, { .key = "was_leader", .value = wasLeader ? "true" : "false" } });
+    if (!wasLeader)
+        return {};
+    m_leaderEndpoint.clear();
+    m_lastLeaderContact = {};
+    m_lastLeaseholderContact = {};
+    startElectionSoon();
+    return {};
+}
+
 bool ReplicatedLog::hasValidLease() const
 {
     if (m_role != ReplicaRole::Leader || m_commitIndex < m_termStartIndex || !m_log.membership())
--- a/src/control/ireplicatedlog.h
+++ b/src/control/ireplicatedlog.h
@@ -57,6 +57,13 @@
     // Handles another controller's request to join as a learner; only a leader with a valid lease accepts it.
     virtual schema::JoinResponse onJoin(const schema::JoinRequest& request) = 0;
 
+    // Ceases to lead before this controller is stopped. Returns the announcement to send to all peers.
+    virtual schema::LeaveGroupRequest leaveGroup() = 0;
+
+    // Handles the announcement that another controller is being stopped: a learner may take its place at once, and a new leader may
+    // be elected at once if it led.
+    virtual schema::LeaveGroupResponse onLeaveGroup(const schema::LeaveGroupRequest& request) = 0;
+
     // All known controllers except this one.
     virtual std::vector<ReplicaPeer> peers() const = 0;
 
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -41,6 +41,8 @@
     schema::SnapshotResponse onSnapshot(const schema::SnapshotRequest& request) override;
     schema::DescribeResponse onDescribe(const schema::DescribeRequest& request) override;
     schema::JoinResponse onJoin(const schema::JoinRequest& request) override;
+    schema::LeaveGroupRequest leaveGroup() override;
+    schema::LeaveGroupResponse onLeaveGroup(const schema::LeaveGroupRequest& request) override;
     std::vector<ReplicaPeer> peers() const override;
     Proposal propose(const std::string& command) override;
     void flush() override;
@@ -104,6 +106,7 @@
     void saveVote(std::uint64_t term, const std::string& votedFor);
     void adoptTerm(std::uint64_t term);
     void resetElectionTimeout();
+    void startElectionSoon();
     std::uint64_t formerTerm() const;
     void startElection(ReplicaRole role);
     void logElectionWithoutMajority() const;
@@ -132,6 +135,7 @@
     void recordAcknowledgement(const std::string& peer, std::uint64_t matchIndex, MonotonicTime sentAt);
     // Takes over the learners and absences that the leader reports.
     void adoptContacts(const schema::AppendRequest& request);
+    void rejectIfLeaving() const;
     void followLeader(std::uint64_t term, const std::string& endpoint, bool leaderHasLease);
     void advanceCommit();
     MonotonicTime leaseExpiry() const;
@@ -147,7 +151,8 @@
     AdmissionObstacle admissionObstacle(const std::string& learner) const;
     void forgetSilentLearners();
     void recordAdmissionObstacle(const std::string& learner, AdmissionObstacle obstacle);
-    // The member that has been absent for longest, if that is longer than the absence timeout; null if there is none.
+    // A member that has announced that it stops, or the one that has been absent for longest, if that is longer than the absence
+    // timeout; null if there is none.
     const schema::Member* absentMember() const;
     bool removeSurplusMember();
     void removeMember(const std::string& name, const char* reason);
@@ -180,6 +185,8 @@
     std::set<std::string> m_requestedVotes;
     // Reasons of the voters that rejected this election, by name.
     std::map<std::string, std::string> m_voteRejections;
+    // Set by leaveGroup(); what a leader sends is not acknowledged any more.
+    bool m_leaving = false;
     // Sent with the vote requests of this election; see formerTerm().
     std::uint64_t m_formerTerm = 0;
     std::map<std::string, schema::DescribeResponse> m_descriptions;
--- a/src/control/tests/discoveredgroup.h
+++ b/src/control/tests/discoveredgroup.h
@@ -57,6 +57,18 @@
         m_nextJoinTimes[index] = clock.now() + joinInterval;
     }
 
+    // Stops the replica as a controller is stopped by SIGTERM.
+    void stopAsPlanned(std::size_t index)
+    {
+        clementinesill::schema::LeaveGroupRequest request;
+        runOn(index, [&](auto& log) { request = log.leaveGroup(); });
+        for (std::size_t to = 0; to < replicas.size(); ++to) {
+            if (to != index && !isPartitioned(index, to))
+                runOn(to, [&](auto& log) { log.onLeaveGroup(request); });
+        }
+        kill(index);
+    }
+
     template <typename Condition>
     bool runAndJoinUntil(Condition condition)
     {
--- a/src/control/tests/groupdiscovery.cpp
+++ b/src/control/tests/groupdiscovery.cpp
@@ -303,3 +303,32 @@
     CHECK(options.leaseDuration < options.minElectionTimeout);
     CHECK(options.heartbeatInterval * 2 < options.leaseDuration);
 }
+
+TEST(GroupDiscovery, TwoLostDisksAfterPlannedReplacementDoNotEndGroup)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FiveVoters group(seed);
+        group.startAndJoin(FiveVoters::successor);
+        group.runFor(DiscoveredGroup::catchUpTime);
+        const auto stopped = seed % 2 ? *group.leader() : group.randomFollower();
+        group.stopAsPlanned(stopped);
+        group.runFor(std::chrono::milliseconds(500));
+        CHECK(group.leader().has_value());
+        CHECK(group.commit("change after the planned stop"));
+        group.loseTwoDisksAndAllPower({ stopped });
+        CHECK_TEXT(group.returnsWithin(DiscoveredGroup::recoveryTime), ("seed " + std::to_string(seed)).c_str());
+        CHECK(hasApplied(group.replicas[*group.leader()]->machine, "change after the planned stop"));
+    }
+}
+
+TEST(GroupDiscovery, ControllerThatRestartsAfterPlannedStopKeepsItsVoteIfNoLearnerWaits)
+{
+    FiveVoters group(1);
+    const auto stopped = group.randomFollower();
+    group.stopAsPlanned(stopped);
+    group.runFor(std::chrono::milliseconds(300));
+    group.startAndJoin(stopped);
+    group.runFor(std::chrono::seconds(1));
+    CHECK(group.isVoter(stopped));
+    CHECK(group.membersAre({ 0, 1, 2, 4, 5 }));
+}
