Test planned restarts of controllers among random losses

GroupTolerance draws planned restarts, which announce the stop, besides losses of power and disks and replacements. Comments of the storage and the stop say why they are as they are.

--- a/src/control/internal/controllermodule.cpp
+++ b/src/control/internal/controllermodule.cpp
@@ -95,7 +95,7 @@
             return;
         if (m_operatorListener)
             m_operatorListener->stop();
-        // The server still responds meanwhile, as the calls of the controllers that are elected now would otherwise fail.
+        // The server is shut down last, since the election of another leader may need this controller's vote.
         boost::asio::co_spawn(m_context, leave(), boost::asio::use_future).wait();
         m_server->Shutdown(std::chrono::system_clock::now() + shutdownTimeout);
         m_workGuard.reset();
--- a/src/control/logstorage.h
+++ b/src/control/logstorage.h
@@ -32,6 +32,7 @@
 private:
     struct Replacement {
         std::string name;
+        // Size of the new file, in bytes.
         std::uint64_t size = 0;
         // The temporary file may already have its final name.
         bool mayBeRenamed = false;
@@ -43,7 +44,8 @@
     // Replaces the file atomically.
     void replaceFile(const char* name, std::string_view payload);
     void completeReplacement();
-    // Completes or undoes the replacement that failed last, by what the folder contains.
+    // Finds out from the folder whether the replacement that failed last took effect, and removes its temporary file. An operation
+    // that was reported as failed may have taken effect.
     void resolveFailedReplacement();
     void syncFolderIfChanged();
     std::optional<std::string> readFile(const char* name);
--- a/src/control/tests/grouptolerance.cpp
+++ b/src/control/tests/grouptolerance.cpp
@@ -71,10 +71,13 @@
 
     void performRandomLoss()
     {
-        switch (m_group.random.below(6)) {
+        switch (m_group.random.below(7)) {
         case 0:
             loseAllPower();
             break;
+        case 6:
+            restartAsPlanned(randomController());
+            break;
         case 1:
             losePower(randomController());
             break;
@@ -109,6 +112,13 @@
         m_controllers[index].startsAt = m_group.clock.now() + std::chrono::milliseconds(500 + m_group.random.below(1500));
     }
 
+    void restartAsPlanned(std::size_t index)
+    {
+        if (m_group.replicas[index]->log)
+            m_group.stopAsPlanned(index);
+        losePower(index);
+    }
+
     void loseAllPower()
     {
         for (std::size_t index = 0; index < m_controllers.size(); ++index) {
