--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -343,7 +343,7 @@
     return response;
 }
 
-// An acknowledgement would tell the leader that this controller stays.
+// The leader takes an acknowledgement as a sign that this controller has been started again.
 void ReplicatedLog::rejectIfLeaving() const
 {
     if (m_leaving)
