Keep the schedules of GroupTolerance's seeds; planned restarts get their own test

The planned restarts were added as a seventh kind of loss, so that each seed drew another schedule than before, among them those on which earlier faults failed. The existing test draws from the six kinds again; GroupReturnsFromLossesAmidPlannedRestarts draws from all seven with the same checks.

--- a/src/control/tests/grouptolerance.cpp
+++ b/src/control/tests/grouptolerance.cpp
@@ -17,8 +17,10 @@
 // Random losses within what is promised, while commands are committed.
 class LossSchedule {
 public:
-    explicit LossSchedule(std::uint64_t seed)
-        : m_group(controllers + spares, seed)
+    // With restartsAsPlanned, controllers are also stopped with an announcement.
+    explicit LossSchedule(std::uint64_t seed, bool restartsAsPlanned = false)
+        : m_restartsAsPlanned(restartsAsPlanned)
+        , m_group(controllers + spares, seed)
         , m_controllers(controllers + spares)
     {
         for (std::size_t index = controllers; index < m_controllers.size(); ++index)
@@ -71,7 +73,7 @@
 
     void performRandomLoss()
     {
-        switch (m_group.random.below(7)) {
+        switch (m_group.random.below(m_restartsAsPlanned ? 7 : 6)) {
         case 0:
             loseAllPower();
             break;
@@ -180,6 +182,7 @@
             m_committed.push_back(command);
     }
 
+    bool m_restartsAsPlanned;
     DiscoveredGroup m_group;
     std::vector<Controller> m_controllers;
     int m_commands = 0;
@@ -201,3 +204,13 @@
         schedule.checkRecovery();
     }));
 }
+
+TEST(GroupTolerance, GroupReturnsFromLossesAmidPlannedRestarts)
+{
+    CHECK(rc::check("power and disks are lost while controllers are restarted as planned", [](std::uint64_t seed) {
+        LossSchedule schedule(seed, true);
+        schedule.run(8);
+        schedule.loseDisksAndAllPower();
+        schedule.checkRecovery();
+    }));
+}
