Let the successor of a controller vote before that one is removed

Cause: a learner that held the whole log got a vote only once another controller was known to be gone. Until then every commit and election depended on five votes, one of which nobody could cast. DEPLOY.md: "A machine that is removed stops counting once its successor has had that time", which is before the removal; so neither 1.5 s nor the time of an announcement is allowed.

Change: the successor is admitted as a sixth member, so that commits are held by four of six. Exactly half of six may elect a leader if a member of the other half has lost its data folder: no vote of that half is possible any more. Log entries record the commit index, so that a committed membership is known after a restart; until then majorities of the members before it are required, too. Of two absent members neither is removed at once, since one may return.

Ruled out: a shorter absence timeout (shorter, not zero); the successor's log (learner_waiting names only "the group is full").

--- a/src/control/entrylog.h
+++ b/src/control/entrylog.h
@@ -56,6 +56,12 @@
     const schema::Membership* membership() const;
     // Index of the entry with the latest membership; 0 if there is none.
     std::uint64_t membershipIndex() const;
+    // The membership before the latest one; nullptr if there is none, or if it is only in the snapshot's past.
+    const schema::Membership* formerMembership() const;
+
+    // Highest commit index that a leader recorded in an entry held here, or the index of the snapshot. Unlike the commit index
+    // in memory, it is known after a restart.
+    std::uint64_t recordedCommitIndex() const { return m_recordedCommitIndex; }
 
     // Makes a snapshot of the state at the index durable and discards the entries up to the index, except the last ones, which are
     // kept for followers that lag: at most trailingEntries, of trailingBytes altogether.
@@ -76,6 +82,7 @@
     std::uint64_t m_baseIndex = 0;
     std::uint64_t m_baseTerm = 0;
     std::uint64_t m_syncedIndex = 0;
+    std::uint64_t m_recordedCommitIndex = 0;
     std::deque<schema::LogEntry> m_entries;
     std::size_t m_commandBytes = 0;
     // Memberships by the index of their entry, starting with the one in the snapshot.
--- a/src/control/internal/discoveredgroupoptions.cpp
+++ b/src/control/internal/discoveredgroupoptions.cpp
@@ -11,6 +11,8 @@
 
 // Five members tolerate the simultaneous loss of two, including their disks.
 constexpr int discoveredMaxMembers = 5;
+// The successor of a member that is going to be removed votes before that.
+constexpr int discoveredSpareMembers = 1;
 
 // After a restart of all VMs there is no service until a leader is elected, so a discovered group uses shorter election
 // timeouts than a group that the settings list. In such a deployment a round trip between zones takes 3 ms and a disk sync
@@ -29,6 +31,7 @@
 {
     options.name = options.endpoint;
     options.maxMembers = discoveredMaxMembers;
+    options.spareMembers = discoveredSpareMembers;
     options.heartbeatInterval = discoveredHeartbeatInterval;
     options.minElectionTimeout = discoveredMinElectionTimeout;
     options.maxElectionTimeout = discoveredMaxElectionTimeout;
--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -98,8 +98,10 @@
             logElectionWithoutMajority();
         m_formerTerm = formerTerm();
     }
-    if (role == ReplicaRole::Candidate)
+    if (role == ReplicaRole::Candidate) {
         saveVote(m_vote.term() + 1, m_options.name);
+        m_lostDisksAtCandidacy = m_lostDisks;
+    }
     m_role = role;
     m_leaderEndpoint.clear();
     m_votes = { m_options.name };
@@ -126,9 +128,63 @@
     log(LogLevel::Warn, "election_without_majority", { { .key = "role", .value = std::string(name(m_role)) }, { .key = "term", .value = std::to_string(m_vote.term()) }, { .key = "last_index", .value = std::to_string(m_log.lastIndex()) }, { .key = "granted", .value = granted }, { .key = "rejected", .value = rejected }, { .key = "unanswered", .value = unanswered } });
 }
 
+bool ReplicatedLog::isMembershipCommitted() const
+{
+    return m_log.membershipIndex() <= std::max(m_commitIndex, m_log.recordedCommitIndex());
+}
+
+bool ReplicatedLog::hasSpareMember(const schema::Membership& membership) const
+{
+    const int members = membership.members_size();
+    return m_options.spareMembers && members > m_options.maxMembers && members % 2 == 0;
+}
+
+std::vector<const schema::Membership*> ReplicatedLog::decidingMemberships() const
+{
+    std::vector<const schema::Membership*> memberships { m_log.membership() };
+    const auto* former = m_log.formerMembership();
+    if (former && hasSpareMember(*former) && !isMembershipCommitted() && m_log.membership()->lost_member().empty())
+        memberships.push_back(former);
+    return memberships;
+}
+
+const schema::Member* ReplicatedLog::lostMember(const schema::Membership& membership) const
+{
+    const auto& lostDisks = m_role == ReplicaRole::PreCandidate ? m_lostDisks : m_lostDisksAtCandidacy;
+    const auto& members = membership.members();
+    const auto found = std::find_if(members.begin(), members.end(), [&](const auto& member) { return lostDisks.contains(member.disk_identity()); });
+    return found == members.end() ? nullptr : &*found;
+}
+
+int ReplicatedLog::grantedVotes(const schema::Membership& membership) const
+{
+    const auto& members = membership.members();
+    return static_cast<int>(std::count_if(members.begin(), members.end(), [&](const auto& member) { return m_votes.contains(member.name()); }));
+}
+
+// Answers the loss of two disks right after a member was removed whose successor votes already. Half of a group of even size holds
+// every committed entry, since a commit takes more than half. The other half cannot elect another leader if the data folder of one
+// of its members was lost before this election started: that member's vote is gone. The membership must be committed, because
+// members of the former one could otherwise form a majority without this half.
+bool ReplicatedLog::isElectedByHalf(const schema::Membership& membership) const
+{
+    if (!hasSpareMember(membership) || grantedVotes(membership) * 2 != membership.members_size())
+        return false;
+    const bool isLatest = &membership == m_log.membership();
+    return (!isLatest || isMembershipCommitted()) && lostMember(membership);
+}
+
+bool ReplicatedLog::isElected() const
+{
+    const auto memberships = decidingMemberships();
+    return std::all_of(memberships.begin(), memberships.end(), [&](const auto* membership) {
+        return grantedVotes(*membership) * 2 > membership->members_size() || isElectedByHalf(*membership);
+    });
+}
+
 void ReplicatedLog::countVotes()
 {
-    if (m_votes.size() <= static_cast<std::size_t>(m_log.membership()->members_size()) / 2)
+    if (!isElected())
         return;
     if (m_role == ReplicaRole::PreCandidate)
         startElection(ReplicaRole::Candidate);
@@ -136,15 +192,32 @@
         becomeLeader();
 }
 
+// Entries of earlier terms are committed only together with an entry of this term. A leader that half of the members elected could
+// not commit it by a majority of them, so its first entry removes the member whose data folder is lost.
+void ReplicatedLog::appendTermStart()
+{
+    for (const auto* membership : decidingMemberships()) {
+        if (!isElectedByHalf(*membership))
+            continue;
+        const auto lost = lostMember(*membership)->name();
+        schema::Command command;
+        *command.mutable_membership() = membershipWithout(lost);
+        command.mutable_membership()->set_lost_member(lost);
+        log(LogLevel::Warn, "elected_by_half", { { .key = "lost_member", .value = lost }, { .key = logkey::reason, .value = "its data folder is lost, and exactly half of the members granted the election" } });
+        appendEntry(command.SerializeAsString(), true);
+        return;
+    }
+    appendEntry({}, false);
+}
+
 void ReplicatedLog::becomeLeader()
 {
+    m_replication.startTerm(m_log.lastIndex());
+    appendTermStart();
     m_role = ReplicaRole::Leader;
     m_leaderEndpoint = m_options.endpoint;
     m_leaderSince = m_clock.now();
     m_admissionObstacles.clear();
-    m_replication.startTerm(m_log.lastIndex());
-    // Entries of earlier terms are committed only together with an entry of this term.
-    appendEntry({}, false);
     m_termStartIndex = m_log.lastIndex();
     log(LogLevel::Info, "leader_elected", { { .key = "term", .value = std::to_string(m_vote.term()) }, { .key = "index", .value = std::to_string(m_termStartIndex) } });
     flushEntries();
@@ -169,6 +242,8 @@
 void ReplicatedLog::onVoteResponse(const std::string& peer, const schema::VoteRequest& request, const schema::VoteResponse& response)
 {
     adoptTerm(response.term());
+    if (response.disk_identity() && response.disk_identity() != request.disk_identity())
+        m_lostDisks.insert(request.disk_identity());
     const auto expectedTerm = m_vote.term() + (request.pre_vote() ? 1 : 0);
     const auto expectedRole = request.pre_vote() ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
     if (m_role != expectedRole || request.term() != expectedTerm)
@@ -230,6 +305,7 @@
     schema::VoteResponse response;
     response.set_term(m_vote.term());
     response.set_granted(granted);
+    response.set_disk_identity(m_diskIdentity);
     response.set_reason(rejectionReasons.at(static_cast<std::size_t>(rejection)));
     return response;
 }
--- a/src/control/internal/entrylog.cpp
+++ b/src/control/internal/entrylog.cpp
@@ -12,6 +12,7 @@
     m_snapshot = std::move(snapshot);
     m_baseIndex = m_snapshot.last_index();
     m_baseTerm = m_snapshot.last_term();
+    m_recordedCommitIndex = std::max(m_recordedCommitIndex, m_snapshot.last_index());
     m_entries.clear();
     m_commandBytes = 0;
     m_memberships.clear();
@@ -53,6 +54,7 @@
 void EntryLog::append(schema::LogEntry entry)
 {
     recordMembership(entry);
+    m_recordedCommitIndex = std::max(m_recordedCommitIndex, entry.commit_index());
     m_commandBytes += entry.command().size();
     m_entries.push_back(std::move(entry));
 }
@@ -108,6 +110,11 @@
     return m_memberships.empty() ? 0 : m_memberships.back().first;
 }
 
+const schema::Membership* EntryLog::formerMembership() const
+{
+    return m_memberships.size() < 2 ? nullptr : &m_memberships[m_memberships.size() - 2].second;
+}
+
 void EntryLog::compact(std::uint64_t index, std::string state, std::size_t trailingEntries, std::size_t trailingBytes)
 {
     schema::SnapshotRecord snapshot;
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// A member that is absent for this many absence timeouts is removed although another one is absent, too.
+constexpr int absenceTimeoutsForChoice = 3;
+
 // Logged, indexed by AdmissionObstacle.
 constexpr std::array<const char*, 4> admissionObstacles {
     "",
@@ -124,10 +127,9 @@
 
 void ReplicatedLog::advanceCommit()
 {
-    const auto* membership = m_log.membership();
-    if (!membership)
+    if (!m_log.membership())
         return;
-    const auto majorityIndex = m_replication.majorityIndex(*membership, m_log.syncedIndex());
+    const auto majorityIndex = lastMajorityIndex();
     if (majorityIndex <= m_commitIndex || m_log.termAt(majorityIndex) != m_vote.term())
         return;
     m_commitIndex = majorityIndex;
@@ -137,11 +139,26 @@
     applyCommitted();
 }
 
+std::uint64_t ReplicatedLog::lastMajorityIndex() const
+{
+    auto index = m_log.lastIndex();
+    for (const auto* membership : decidingMemberships())
+        index = std::min(index, m_replication.majorityIndex(*membership, m_log.syncedIndex()));
+    return index;
+}
+
+MonotonicTime ReplicatedLog::lastMajorityContact() const
+{
+    auto contact = MonotonicTime::max();
+    for (const auto* membership : decidingMemberships())
+        contact = std::min(contact, m_replication.majoritySendTime(*membership, m_clock.now()));
+    return contact;
+}
+
 // Time at which the leader steps down if no majority has responded by then.
 MonotonicTime ReplicatedLog::stepDownDeadline() const
 {
-    const auto lastMajorityContact = m_replication.majoritySendTime(*m_log.membership(), m_clock.now());
-    return std::max(m_leaderSince, lastMajorityContact) + m_options.maxElectionTimeout;
+    return std::max(m_leaderSince, lastMajorityContact()) + m_options.maxElectionTimeout;
 }
 
 void ReplicatedLog::stepDown(const char* reason)
@@ -158,6 +175,11 @@
 {
     if (!hasValidLease() || m_log.membershipIndex() > m_commitIndex)
         return;
+    // The next entry tells the members that the change is committed, also after they were restarted.
+    if (m_options.spareMembers && m_log.recordedCommitIndex() < m_log.membershipIndex()) {
+        appendEntry({}, false);
+        flushEntries();
+    }
     forgetSilentLearners();
     if (m_log.membership()->members_size() > m_options.maxMembers && removeSurplusMember())
         return;
@@ -172,7 +194,6 @@
     const auto& progress = m_replication.peer(peer.name);
     if (!progress.diskIdentity)
         return false;
-    auto membership = *m_log.membership();
     const auto* existing = member(peer.name);
     if (existing && existing->disk_identity() == progress.diskIdentity)
         return false;
@@ -188,6 +209,8 @@
     recordAdmissionObstacle(peer.name, obstacle);
     if (obstacle != AdmissionObstacle::None)
         return false;
+    auto membership = *m_log.membership();
+    membership.clear_lost_member();
     auto& added = *membership.add_members();
     added.set_name(peer.name);
     added.set_endpoint(peer.endpoint);
@@ -213,7 +236,7 @@
     if (!progress.caughtUp)
         return AdmissionObstacle::LogBehind;
     const int members = m_log.membership()->members_size();
-    const bool hasPlace = members < m_options.maxMembers || (members == m_options.maxMembers && absentMember());
+    const bool hasPlace = members < memberLimit() || (members == memberLimit() && absentMember());
     return hasPlace ? AdmissionObstacle::None : AdmissionObstacle::GroupFull;
 }
 
@@ -251,12 +274,14 @@
 bool ReplicatedLog::removeSurplusMember()
 {
     if (const auto* absent = absentMember()) {
-        if (!hasQuorumWithout(absent->name()))
+        if (!hasQuorumWithout(absent->name()) || mayReturnFirst(*absent))
             return false;
         removeMember(absent->name(), m_absences.hasDeparted(absent->name(), m_clock.now()) ? "it is being stopped and a learner has taken its place" : "it has not responded for too long and a learner has taken its place");
         return true;
     }
     const auto& members = m_log.membership()->members();
+    if (members.size() <= memberLimit())
+        return false;
     const auto since = m_clock.now() - m_options.minElectionTimeout;
     if (!std::all_of(members.begin(), members.end(), [&](const auto& member) { return m_replication.isActiveSince(member, since); }))
         return false;
@@ -266,13 +291,28 @@
     return true;
 }
 
+// Whether to wait because another member is absent, too. If that one returns and this one does not, removing this one leaves the
+// group with five members that respond; the other choice leaves it with one that is gone.
+bool ReplicatedLog::mayReturnFirst(const schema::Member& absent) const
+{
+    if (!hasSpareMember(*m_log.membership()) || m_absences.hasDeparted(absent.name(), m_clock.now()))
+        return false;
+    return silentVoters().size() > 1 && m_absences.lastResponse(absent.name()) > m_clock.now() - absenceTimeoutsForChoice * m_options.memberAbsenceTimeout;
+}
+
 void ReplicatedLog::removeMember(const std::string& name, const char* reason)
+{
+    log(LogLevel::Warn, "member_removed", { { .key = "member", .value = name }, { .key = "reason", .value = reason } });
+    proposeMembership(membershipWithout(name));
+}
+
+schema::Membership ReplicatedLog::membershipWithout(const std::string& name) const
 {
     auto membership = *m_log.membership();
+    membership.clear_lost_member();
     auto& members = *membership.mutable_members();
     members.erase(std::remove_if(members.begin(), members.end(), [&](const auto& member) { return member.name() == name; }), members.end());
-    log(LogLevel::Warn, "member_removed", { { .key = "member", .value = name }, { .key = "reason", .value = reason } });
-    proposeMembership(membership);
+    return membership;
 }
 
 std::optional<GroupRedundancy> ReplicatedLog::redundancy() const
@@ -308,7 +348,9 @@
     const auto activeCount = std::count_if(members.begin(), members.end(), [&](const auto& member) {
         return member.name() != name && m_replication.isActiveSince(member, since);
     });
-    return activeCount > (members.size() - 1) / 2;
+    // The removal of a member of a group with a spare one needs a majority of the members before it, too.
+    const int countedMembers = hasSpareMember(*m_log.membership()) ? members.size() : members.size() - 1;
+    return activeCount > countedMembers / 2;
 }
 
 void ReplicatedLog::proposeMembership(const schema::Membership& membership)
--- a/src/control/internal/replicatedlog.cpp
+++ b/src/control/internal/replicatedlog.cpp
@@ -276,6 +276,7 @@
     entry.set_term(m_vote.term());
     entry.set_command(command);
     entry.set_membership(membership);
+    entry.set_commit_index(m_commitIndex);
     m_log.append(std::move(entry));
 }
 
@@ -385,7 +386,7 @@
 
 MonotonicTime ReplicatedLog::leaseExpiry() const
 {
-    return m_replication.majoritySendTime(*m_log.membership(), m_clock.now()) + m_options.leaseDuration;
+    return lastMajorityContact() + m_options.leaseDuration;
 }
 
 bool ReplicatedLog::hasLeader() const
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -109,6 +109,18 @@
     void startElectionSoon();
     std::uint64_t formerTerm() const;
     void startElection(ReplicaRole role);
+    // Whether the group has an even number of members because a spare one was admitted, so that half of them may elect a leader.
+    bool hasSpareMember(const schema::Membership& membership) const;
+    // The memberships in which a majority is required: the latest one and, until that is known to be committed, the one before if
+    // half of its members may elect a leader.
+    std::vector<const schema::Membership*> decidingMemberships() const;
+    bool isMembershipCommitted() const;
+    int grantedVotes(const schema::Membership& membership) const;
+    bool isElected() const;
+    bool isElectedByHalf(const schema::Membership& membership) const;
+    // A member whose data folder was known to be lost when this election started; nullptr if there is none.
+    const schema::Member* lostMember(const schema::Membership& membership) const;
+    void appendTermStart();
     void logElectionWithoutMajority() const;
     void countVotes();
     void becomeLeader();
@@ -155,7 +167,14 @@
     // timeout; null if there is none.
     const schema::Member* absentMember() const;
     bool removeSurplusMember();
+    bool mayReturnFirst(const schema::Member& absent) const;
     void removeMember(const std::string& name, const char* reason);
+    schema::Membership membershipWithout(const std::string& name) const;
+    // Members that stay when all others respond; one more may be admitted while a member is absent.
+    int memberLimit() const { return m_options.maxMembers + m_options.spareMembers; }
+    // Majorities of all deciding memberships have acknowledged a message sent at this time, and hold the entries up to this index.
+    MonotonicTime lastMajorityContact() const;
+    std::uint64_t lastMajorityIndex() const;
     bool hasQuorumWithout(const std::string& name) const;
     void proposeMembership(const schema::Membership& membership);
 
@@ -185,6 +204,10 @@
     std::set<std::string> m_requestedVotes;
     // Reasons of the voters that rejected this election, by name.
     std::map<std::string, std::string> m_voteRejections;
+    // Identities of data folders that no longer exist, as their controllers responded with another one.
+    std::set<std::uint64_t> m_lostDisks;
+    // Those known when this controller became a candidate.
+    std::set<std::uint64_t> m_lostDisksAtCandidacy;
     // Set by leaveGroup(); what a leader sends is not acknowledged any more.
     bool m_leaving = false;
     // Sent with the vote requests of this election; see formerTerm().
--- a/src/control/tests/groupdiscovery.cpp
+++ b/src/control/tests/groupdiscovery.cpp
@@ -64,6 +64,28 @@
         }
     }
 
+    // Two running controllers lose their disks and are back after a second; the others lose power with them if allPower is set.
+    void loseTwoDisks(const std::set<std::size_t>& stopped, bool allPower)
+    {
+        std::set<std::size_t> lost;
+        while (lost.size() < 2) {
+            const auto index = random.below(replicas.size());
+            if (!stopped.contains(index))
+                lost.insert(index);
+        }
+        for (std::size_t index = 0; index < replicas.size(); ++index) {
+            if (lost.contains(index))
+                wipeDataFolder(index);
+            else if (allPower)
+                kill(index);
+        }
+        runFor(std::chrono::seconds(1));
+        for (std::size_t index = 0; index < replicas.size(); ++index) {
+            if (!stopped.contains(index))
+                startAndJoin(index);
+        }
+    }
+
     // Whether a leader is elected within the time.
     bool returnsWithin(Duration time)
     {
@@ -321,6 +343,28 @@
     }
 }
 
+// Guards against a removed controller whose vote still counts: two disks lost with it or soon after ended the group, although its
+// successor had caught up (review/3).
+TEST(GroupDiscovery, TwoDisksLostAtAnyTimeAfterRemovalWithoutNoticeDoNotEndGroup)
+{
+    CHECK(rc::check("a controller is removed without notice, and two others lose their disks", [](std::uint64_t seed) {
+        FiveVoters group(seed);
+        group.startAndJoin(FiveVoters::successor);
+        group.runFor(DiscoveredGroup::catchUpTime);
+        RC_ASSERT(group.runAndJoinUntil([&] { return group.commit("acknowledged before the removal"); }));
+        const auto removed = group.random.below(2) ? *group.leader() : group.randomFollower();
+        group.kill(removed);
+        group.runFor(std::chrono::milliseconds(group.random.below(2000)));
+        const bool committed = group.leader() && group.commit("acknowledged after the removal");
+        group.loseTwoDisks({ removed }, group.random.below(2) == 0);
+        RC_ASSERT(group.returnsWithin(DiscoveredGroup::recoveryTime));
+        RC_ASSERT(group.runAndJoinUntil([&] { return group.commit("acknowledged after the losses"); }));
+        const auto& machine = group.replicas[*group.leader()]->machine;
+        RC_ASSERT(hasApplied(machine, "acknowledged before the removal"));
+        RC_ASSERT(!committed || hasApplied(machine, "acknowledged after the removal"));
+    }));
+}
+
 TEST(GroupDiscovery, ControllerThatRestartsAfterPlannedStopKeepsItsVoteIfNoLearnerWaits)
 {
     FiveVoters group(1);
--- a/src/control/tests/grouptolerance.cpp
+++ b/src/control/tests/grouptolerance.cpp
@@ -14,12 +14,20 @@
 // until its controller, or the successor of a controller that is gone for good, has run for the catch-up time.
 constexpr int tolerableDiskLosses = 2;
 
+// Operators' work that is drawn among the losses.
+enum class PlannedWork {
+    None,
+    // Controllers are stopped with an announcement and started again.
+    Restarts,
+    // A successor is started, and once it has caught up, another controller is removed without notice.
+    Removals,
+};
+
 // Random losses within what is promised, while commands are committed.
 class LossSchedule {
 public:
-    // With restartsAsPlanned, controllers are also stopped with an announcement.
-    explicit LossSchedule(std::uint64_t seed, bool restartsAsPlanned = false)
-        : m_restartsAsPlanned(restartsAsPlanned)
+    explicit LossSchedule(std::uint64_t seed, PlannedWork work = PlannedWork::None)
+        : m_work(work)
         , m_group(controllers + spares, seed)
         , m_controllers(controllers + spares)
     {
@@ -73,19 +81,23 @@
 
     void performRandomLoss()
     {
-        switch (m_group.random.below(m_restartsAsPlanned ? 7 : 6)) {
+        switch (m_group.random.below(m_work == PlannedWork::None ? 6 : 7)) {
         case 0:
             loseAllPower();
             break;
         case 6:
-            restartAsPlanned(randomController());
+            if (m_work == PlannedWork::Restarts)
+                restartAsPlanned(randomController());
+            else
+                startSuccessor();
             break;
         case 1:
             losePower(randomController());
             break;
         case 2:
         case 3:
-            if (lostDisks() < tolerableDiskLosses)
+            // Three of six controllers that are gone for good at once cannot be told from those beyond a partition.
+            if (m_work != PlannedWork::Removals && lostDisks() < tolerableDiskLosses)
                 replace(randomController());
             break;
         default:
@@ -147,8 +159,30 @@
         *unused = { .inUse = true, .countsAsLost = true, .startsAt = m_group.clock.now() + std::chrono::seconds(1) };
     }
 
+    void startSuccessor()
+    {
+        const auto unused = std::find_if(m_controllers.begin(), m_controllers.end(), [](const auto& controller) { return !controller.inUse; });
+        if (m_successor || unused == m_controllers.end() || lostDisks() >= tolerableDiskLosses)
+            return;
+        m_successor = static_cast<std::size_t>(unused - m_controllers.begin());
+        *unused = { .inUse = true, .countsAsLost = true, .startsAt = m_group.clock.now() };
+    }
+
+    // Does not count as a loss, since the successor has caught up.
+    void removeWithoutNotice()
+    {
+        const auto removed = randomController();
+        if (removed == m_successor || m_controllers[removed].countsAsLost)
+            return;
+        m_group.wipeDataFolder(removed);
+        m_controllers[removed] = {};
+        m_successor.reset();
+    }
+
     void advance()
     {
+        if (m_successor && !m_controllers[*m_successor].countsAsLost)
+            removeWithoutNotice();
         for (std::size_t index = 0; index < m_controllers.size(); ++index) {
             auto& controller = m_controllers[index];
             if (controller.startsAt && *controller.startsAt <= m_group.clock.now()) {
@@ -182,7 +216,8 @@
             m_committed.push_back(command);
     }
 
-    bool m_restartsAsPlanned;
+    PlannedWork m_work;
+    std::optional<std::size_t> m_successor;
     DiscoveredGroup m_group;
     std::vector<Controller> m_controllers;
     int m_commands = 0;
@@ -208,7 +243,18 @@
 TEST(GroupTolerance, GroupReturnsFromLossesAmidPlannedRestarts)
 {
     CHECK(rc::check("power and disks are lost while controllers are restarted as planned", [](std::uint64_t seed) {
-        LossSchedule schedule(seed, true);
+        LossSchedule schedule(seed, PlannedWork::Restarts);
+        schedule.run(8);
+        schedule.loseDisksAndAllPower();
+        schedule.checkRecovery();
+    }));
+}
+
+// Guards against a removed controller whose vote counts although its successor has caught up (review/3).
+TEST(GroupTolerance, GroupReturnsFromLossesWhileControllersAreRemovedWithoutNotice)
+{
+    CHECK(rc::check("power and disks are lost while controllers are removed after their successors have caught up", [](std::uint64_t seed) {
+        LossSchedule schedule(seed, PlannedWork::Removals);
         schedule.run(8);
         schedule.loseDisksAndAllPower();
         schedule.checkRecovery();
--- a/src/control/tests/replicatedlog.cpp
+++ b/src/control/tests/replicatedlog.cpp
@@ -20,10 +20,11 @@
 // Runs a schedule of random failures and checks the invariants after every step.
 class RandomSchedule {
 public:
-    // Replicas beyond maxMembers are learners that replace absent members.
-    RandomSchedule(std::size_t count, std::uint64_t seed, int maxMembers)
-        : m_group(count, seed, [maxMembers](std::size_t, auto& options) { options.maxMembers = maxMembers; options.memberAbsenceTimeout = std::chrono::milliseconds(1500); })
-        , m_hasLearners(static_cast<int>(count) > maxMembers)
+    // Replicas beyond the maximum and the spare members are learners that replace absent members.
+    RandomSchedule(std::size_t count, std::uint64_t seed, int maxMembers, int spareMembers = 0)
+        : m_group(count, seed, [=](std::size_t, auto& options) { options.maxMembers = maxMembers; options.spareMembers = spareMembers; options.memberAbsenceTimeout = std::chrono::milliseconds(1500); })
+        , m_hasLearners(static_cast<int>(count) > maxMembers + spareMembers)
+        , m_losesTwoFolders(spareMembers && maxMembers == 5)
     {
         m_group.maxBatchBytes = seed % 2 ? 1 : m_group.maxBatchBytes;
     }
@@ -76,8 +77,11 @@
             break;
         case 6:
             // A majority does not survive the loss of a second data folder before the first one is replaced.
-            if (m_group.allReplicasAreMembers())
-                m_group.wipeDataFolder(index);
+            if (!m_group.allReplicasAreMembers())
+                break;
+            m_group.wipeDataFolder(index);
+            if (m_losesTwoFolders)
+                m_group.wipeDataFolder(random.below(m_group.replicas.size()));
             break;
         case 7:
         case 8:
@@ -141,6 +145,7 @@
 
     ReplicaGroup m_group;
     bool m_hasLearners;
+    bool m_losesTwoFolders;
     int m_changes = 0;
     std::map<std::uint64_t, std::string> m_leaders;
     // Every command applied by any state machine, by index.
@@ -487,3 +492,13 @@
     CHECK(reports({ .voters = 5, .responding = 3, .learners = 0, .tolerableLosses = 0 }));
     CHECK_FALSE(group.replicas[(leader + 3) % 5]->log->redundancy().has_value());
 }
+
+// Guards against two leaders and lost entries when half of a group of even size elects a leader.
+TEST(ReplicatedLog, RandomFailuresLoseNoCommittedEntryWithSpareMember)
+{
+    CHECK(rc::check("crashes, power losses, partitions, dropped messages, lost data folders and full disks", [](std::uint64_t seed) {
+        RandomSchedule schedule(seed % 2 ? 6 : 4, seed, seed % 2 ? 5 : 3, 1);
+        schedule.run(4000);
+        schedule.heal();
+    }));
+}
