Recognise a server's restart without trusting its clock

Cause: the agent ordered the instances of a server by the start that they report. A server whose clock jumped back reports an earlier one, so each of its heartbeats was taken for one of an older instance, ignored, and acknowledged.

Change: an instance other than the current one is accepted at its first heartbeat only if that is clearly a new start, otherwise once it goes on sending heartbeats while the current one sends none; a delayed heartbeat of an instance that has ended has no successor. Until then it gets 503. When an instance is replaced, packets of unknown flows go to the server for the lifetime of a flow, so that a wrong guess costs none.

Kin: the controllers refuse the boot id of a replaced instance for good, so one that was replaced by mistake and runs gets another boot id; a shutdown names the server only, so that a delayed one ended the use of a later start; two starts at the same time; an agent that restarts ended a drain that the table had because of one heartbeat, and ignored a shutdown that came before the first heartbeat.

Evidence: heartbeat_not_applied (new) names start and sequence of both instances; heartbeats_total tells outdated from unverified.

--- a/src/agent/internal/serverregistration.cpp
+++ b/src/agent/internal/serverregistration.cpp
@@ -98,7 +98,7 @@
         const auto registration = m_client.registerServer(m_announcement);
         m_replaced = registration.serverId != m_registration.serverId || registration.incarnation != m_registration.incarnation;
     } catch (const Error& error) {
-        if (error.kind() != ErrorKind::InvalidArgument)
+        if (error.kind() != ErrorKind::InvalidArgument && error.kind() != ErrorKind::Conflict)
             throw;
         m_replaced = true;
     }
--- a/src/fleet/ifleetclient.h
+++ b/src/fleet/ifleetclient.h
@@ -28,7 +28,8 @@
     virtual ITableSource& tables() = 0;
 
     // Blocks until the controllers accept the announcement. Throws Error: Unavailable after 20 s or if interrupted,
-    // InvalidArgument if the announcement is rejected.
+    // Conflict if a later start of the server has replaced the announced one, InvalidArgument if the announcement is rejected
+    // otherwise.
     virtual Registration registerServer(const schema::ServerAnnouncement& announcement) = 0;
 
     // Renews the lease once; false if the controllers no longer have the registration and the server must register again.
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -396,6 +396,8 @@
     } while (m_clock.now() < deadline);
     if (response.outcome().code() == schema::Outcome::CODE_NOT_FOUND)
         throw Error(ErrorKind::Unavailable, response.outcome().message(), "the agent retries the registration");
+    if (response.outcome().code() == schema::Outcome::CODE_CONFLICT)
+        throw Error(ErrorKind::Conflict, response.outcome().message(), "stop the other agent of this name, or announce the server with a new boot id");
     if (response.outcome().code() != schema::Outcome::CODE_OK)
         throw Error(ErrorKind::InvalidArgument, "the controllers rejected the announcement: " + response.outcome().message(), "correct the agent's settings");
     return { .serverId = response.server_id(), .incarnation = response.incarnation() };
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -25,6 +25,7 @@
 #include "settings.pb.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -58,6 +59,8 @@
 constexpr std::chrono::seconds applyTimeout { 1 };
 // Heartbeat intervals within which a server that has become cold reports it.
 constexpr int coldReportIntervals = 2;
+// In metrics and logs, indexed by HeartbeatResult.
+constexpr std::array<const char*, 6> heartbeatOutcomes { "accepted", "accepted", "accepted", "accepted", "outdated", "unverified" };
 
 class PassThroughAgent final : public IRoleModule, public IHeartbeatHandler {
 public:
@@ -185,19 +188,37 @@
             log(LogLevel::Warn, "heartbeat_refused", { { .key = logkey::server, .value = heartbeat.name }, { .key = logkey::reason, .value = "the heartbeat is for service " + heartbeat.service + ", but this VM is configured for " + m_service } });
             return;
         }
-        const bool isFirstHeartbeat = !m_server.hasHeartbeat();
+        const auto before = m_server.lastHeartbeat();
+        const bool wasVerified = m_server.verified();
         const auto result = m_server.applyHeartbeat(heartbeat);
-        countHeartbeat(result == HeartbeatResult::Stale ? "outdated" : "accepted");
-        if (result == HeartbeatResult::Stale)
+        countHeartbeat(heartbeatOutcomes.at(static_cast<std::size_t>(result)));
+        if (result == HeartbeatResult::Stale || result == HeartbeatResult::Unverified) {
+            onHeartbeatNotApplied(heartbeat, result);
             return;
+        }
         if (result == HeartbeatResult::NewInstance)
-            onNewInstance(heartbeat, isFirstHeartbeat);
+            onNewInstance(heartbeat, !before);
         m_coldStartLimit.setColdFor(heartbeat.coldRemaining);
         m_relay.releaseWaiting();
+        if (result != HeartbeatResult::Unchanged || m_server.verified() != wasVerified)
+            m_registrar->setServer(heartbeat, { .restarted = result == HeartbeatResult::NewInstance, .verified = m_server.verified() });
         if (result == HeartbeatResult::Unchanged)
             return;
-        log(LogLevel::Info, result == HeartbeatResult::NewInstance ? "server_started" : "server_drain_changed", { { .key = logkey::server, .value = heartbeat.name }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "cold_ms", .value = std::to_string(heartbeat.coldRemaining.count()) } });
-        m_registrar->setServer(heartbeat);
+        log(LogLevel::Info, result == HeartbeatResult::NewInstance ? "server_started" : "server_drain_changed", { { .key = logkey::server, .value = heartbeat.name }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "cold_ms", .value = std::to_string(heartbeat.coldRemaining.count()) }, { .key = "started_at_ms", .value = std::to_string(heartbeat.startedAtMs) }, { .key = "sequence", .value = std::to_string(heartbeat.sequence) }, { .key = "replaced_started_at_ms", .value = before ? std::to_string(before->startedAtMs) : "" } });
+    }
+
+    // An acknowledgement tells the server that its state is known here, so a heartbeat whose state is not known is not acknowledged:
+    // throws Error (Unavailable). The sender of a delayed heartbeat has ended and does not repeat it.
+    void onHeartbeatNotApplied(const ServerHeartbeat& heartbeat, HeartbeatResult result)
+    {
+        const auto& current = m_server.lastHeartbeat();
+        log(LogLevel::Warn, "heartbeat_not_applied", { { .key = logkey::server, .value = heartbeat.name }, { .key = logkey::reason, .value = heartbeatOutcomes.at(static_cast<std::size_t>(result)) }, { .key = "started_at_ms", .value = std::to_string(heartbeat.startedAtMs) }, { .key = "sequence", .value = std::to_string(heartbeat.sequence) }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "current", .value = current ? current->name : "" }, { .key = "current_started_at_ms", .value = current ? std::to_string(current->startedAtMs) : "" }, { .key = "current_sequence", .value = current ? std::to_string(current->sequence) : "" } });
+        // The rate of a cold server must hold although it is not known yet that this one has started.
+        if (heartbeat.coldRemaining.count())
+            m_coldStartLimit.assumeCold(std::min<Duration>(heartbeat.coldRemaining, coldReportIntervals * m_heartbeatInterval));
+        const bool stateKnown = m_server.isCurrent(heartbeat) && (!heartbeat.draining || m_server.draining() || m_server.hasShutDown());
+        if (!stateKnown)
+            throw Error(ErrorKind::Unavailable, "it is not certain yet whether this instance of server '" + heartbeat.name + "' runs", "send the next heartbeat");
     }
 
     void onNewInstance(const ServerHeartbeat& heartbeat, bool isFirstHeartbeat)
@@ -207,8 +228,10 @@
         // This is the server that was adopted from the table: keep its registration and flows.
         if (isFirstHeartbeat && adopted && adopted->name == heartbeat.name)
             return;
-        if (!isFirstHeartbeat)
+        if (!isFirstHeartbeat) {
             m_flows.clear();
+            m_router.probeUnknownFlows();
+        }
         m_failures.clear();
         m_router.setServer(0, 0);
     }
@@ -233,7 +256,7 @@
                 m_load.setSlots(found->slots);
                 m_router.setServer(found->id, found->serviceId);
                 m_coldStartLimit.assumeCold(coldReportIntervals * m_heartbeatInterval);
-                m_server.expectHeartbeat();
+                m_server.expectHeartbeat(found->name, found->draining);
                 m_adoptedRegistration = { .serverId = found->id, .incarnation = found->incarnation };
             }
             return;
--- a/src/passthrough/internal/relayrouter.cpp
+++ b/src/passthrough/internal/relayrouter.cpp
@@ -68,7 +68,7 @@
 RelayRouter::RelayRouter(const RelayRouterOptions& options)
     : m_options(options)
     , m_searchBudget(options.clock)
-    , m_startTime(options.clock.now())
+    , m_recordedSince(options.clock.now())
 {
 }
 
@@ -78,6 +78,11 @@
     m_serviceId = serviceId;
 }
 
+void RelayRouter::probeUnknownFlows()
+{
+    m_recordedSince = m_options.clock.now();
+}
+
 RelayDecision RelayRouter::decide(const Search& search, const FlowPacket& packet, const agent::TableView& view)
 {
     return packet.opensFlow() ? decideNewFlow(search, packet, view) : decideExistingFlow(search, packet, view);
@@ -302,8 +307,8 @@
             return reset(RelayReason::ServerDead);
         return { .action = RelayAction::Deliver, .reason = RelayReason::FlowHeld };
     }
-    const bool recentlyStarted = m_options.clock.now() - m_startTime < m_options.flowLifetime;
-    if (!held && recentlyStarted && !m_options.server.silent())
+    const bool mayBeUnrecorded = m_options.clock.now() - m_recordedSince < m_options.flowLifetime;
+    if (!held && mayBeUnrecorded && !m_options.server.silent())
         return { .action = RelayAction::Probe, .reason = RelayReason::AgentRecentlyStarted };
     return forwardExistingFlow(search, packet, view, RelayReason::NotHeld);
 }
--- a/src/passthrough/internal/serverregistrar.cpp
+++ b/src/passthrough/internal/serverregistrar.cpp
@@ -17,14 +17,18 @@
 // Limits an agent that waits for the leader's confirmation to 20 renewals per second.
 constexpr std::chrono::milliseconds requestedRenewalDelay { 50 };
 
-// Identical for all heartbeats of one server instance, also across restarts of this agent. Never 0.
-std::uint64_t bootId(const ServerHeartbeat& heartbeat)
-{
-    return hash64(std::as_bytes(std::span(heartbeat.name)), heartbeat.startedAtMs) | 1;
-}
+// Boot ids tried for one instance in a row.
+constexpr std::uint64_t maximumBootIds = 32;
 
 } // namespace
 
+// Identical for all heartbeats of one server instance, also across restarts of this agent, until the controllers have recorded that
+// it was replaced. Never 0.
+std::uint64_t ServerRegistrar::bootId(const ServerHeartbeat& heartbeat) const
+{
+    return hash64(std::as_bytes(std::span(heartbeat.name)), heartbeat.startedAtMs + m_usedBootIds) | 1;
+}
+
 ServerRegistrar::ServerRegistrar(fleet::IFleetClient& client, std::string endpoint, Registered registered, Renewed renewed)
     : m_client(client)
     , m_endpoint(std::move(endpoint))
@@ -39,11 +43,12 @@
     stop();
 }
 
-void ServerRegistrar::setServer(const ServerHeartbeat& heartbeat)
+void ServerRegistrar::setServer(const ServerHeartbeat& heartbeat, const ServerInstanceState& state)
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_desired = { .heartbeat = heartbeat, .gone = false };
+        m_desired = { .heartbeat = heartbeat, .verified = state.verified, .gone = false };
+        m_restarted = m_restarted || state.restarted;
         m_changed = true;
     }
     m_wake.notify_all();
@@ -108,7 +113,12 @@
         m_changed = false;
         m_renewalRequested = false;
         const auto desired = m_desired;
+        const bool restarted = std::exchange(m_restarted, false);
         lock.unlock();
+        if (restarted) {
+            m_bootId = 0;
+            m_usedBootIds = 0;
+        }
         try {
             reconcile(desired);
         } catch (const Error& error) {
@@ -127,8 +137,8 @@
             m_client.leave(m_registration, false);
         return;
     }
-    if (m_bootId != bootId(*desired.heartbeat))
-        registerServer(*desired.heartbeat);
+    if (!m_bootId)
+        registerServer(desired);
     if (desired.heartbeat->draining && !m_drainingReported) {
         m_client.leave(m_registration, true);
         m_drainingReported = true;
@@ -143,9 +153,26 @@
         m_bootId = 0;
 }
 
-void ServerRegistrar::registerServer(const ServerHeartbeat& heartbeat)
+// The controllers never accept the boot id of an instance that another one has replaced. An instance that was replaced by mistake
+// and is known to run, such as one whose predecessor's delayed heartbeat was taken for a restart, gets another boot id.
+fleet::Registration ServerRegistrar::announce(const DesiredState& desired)
+{
+    while (true) {
+        try {
+            return m_client.registerServer(announcement(*desired.heartbeat));
+        } catch (const Error& error) {
+            if (error.kind() != ErrorKind::Conflict || !desired.verified || m_usedBootIds >= maximumBootIds)
+                throw;
+            log(LogLevel::Warn, "boot_id_replaced", { { .key = logkey::server, .value = desired.heartbeat->name }, { .key = logkey::reason, .value = error.problem() } });
+            ++m_usedBootIds;
+        }
+    }
+}
+
+void ServerRegistrar::registerServer(const DesiredState& desired)
 {
-    m_registration = m_client.registerServer(announcement(heartbeat));
+    const auto& heartbeat = *desired.heartbeat;
+    m_registration = announce(desired);
     m_bootId = bootId(heartbeat);
     m_drainingReported = false;
     log(LogLevel::Info, "server_registered", { { .key = logkey::server, .value = heartbeat.name }, { .key = logkey::service, .value = heartbeat.service }, { .key = "incarnation", .value = std::to_string(m_registration.incarnation) } });
--- a/src/passthrough/internal/serverregistrar.h
+++ b/src/passthrough/internal/serverregistrar.h
@@ -3,6 +3,7 @@
 #include "control.pb.h"
 #include "fleet/ifleetclient.h"
 #include "passthrough/types/serverheartbeat.h"
+#include "passthrough/types/serverinstancestate.h"
 
 #include <condition_variable>
 #include <functional>
@@ -27,7 +28,7 @@
     ~ServerRegistrar();
 
     // Set the state that is reported to the controllers.
-    void setServer(const ServerHeartbeat& heartbeat);
+    void setServer(const ServerHeartbeat& heartbeat, const ServerInstanceState& state);
     void setServerGone();
 
     // Renews the lease without waiting for the next interval, so that the leader confirms the table.
@@ -38,14 +39,17 @@
 private:
     struct DesiredState {
         std::optional<ServerHeartbeat> heartbeat;
+        bool verified = false;
         bool gone = false;
     };
 
     void run();
     void reconcileUntilStopped();
     void reconcile(const DesiredState& desired);
-    void registerServer(const ServerHeartbeat& heartbeat);
+    void registerServer(const DesiredState& desired);
+    fleet::Registration announce(const DesiredState& desired);
     schema::ServerAnnouncement announcement(const ServerHeartbeat& heartbeat) const;
+    std::uint64_t bootId(const ServerHeartbeat& heartbeat) const;
 
     fleet::IFleetClient& m_client;
     std::string m_endpoint;
@@ -56,6 +60,7 @@
     // Guarded by m_mutex.
     DesiredState m_desired;
     bool m_changed = false;
+    bool m_restarted = false;
     bool m_renewalRequested = false;
     bool m_stopping = false;
     bool m_threadDone = false;
@@ -63,6 +68,8 @@
     fleet::Registration m_registration;
     // Of the registered instance; 0 if none is registered.
     std::uint64_t m_bootId = 0;
+    // Number of earlier boot ids of the same instance, which the controllers do not accept any more.
+    std::uint64_t m_usedBootIds = 0;
     bool m_drainingReported = false;
     std::thread m_thread;
 };
--- a/src/passthrough/localserver.h
+++ b/src/passthrough/localserver.h
@@ -3,6 +3,7 @@
 #include "foundation/iclock.h"
 #include "passthrough/types/serverheartbeat.h"
 
+#include <deque>
 #include <functional>
 #include <optional>
 
@@ -15,11 +16,17 @@
     NewInstance,
     DrainStarted,
     DrainEnded,
-    // Sent by an instance that a newer one has replaced, or received after a later heartbeat.
+    // Sent by an instance that another one has replaced, or received after a later heartbeat.
     Stale,
+    // Sent by an instance that was not heard before. Whether it runs, or has ended and its heartbeat was delayed, is not known yet.
+    Unverified,
 };
 
 // State of the server on this agent's VM, derived from its heartbeats and packets. Must only be used on the agent's event loop.
+//
+// The start times that instances report come from a clock that may jump, so their order does not tell which instance runs. An
+// instance other than the current one is accepted at its first heartbeat only if that is clearly a new start, and otherwise once
+// it keeps sending heartbeats while the current one sends none: a delayed heartbeat has no successor.
 class LocalServer {
 public:
     // heartbeatInterval is the time between two heartbeats.
@@ -32,9 +39,9 @@
     HeartbeatResult applyHeartbeat(const ServerHeartbeat& heartbeat);
 
     // Called when the table has a server on this VM that has sent nothing since this agent started.
-    void expectHeartbeat();
+    void expectHeartbeat(const std::string& name, bool draining);
 
-    // Called when the server reports its shutdown. Returns false if name is not that of the current server.
+    // Called when the server reports its shutdown. Returns false if no instance with this name is known.
     bool markShutDown(const std::string& name);
 
     // Called when a packet from the server arrives.
@@ -54,9 +61,15 @@
     bool presumedEnded(const std::function<bool()>& refusesConnections) const;
 
     bool hasHeartbeat() const { return m_heartbeat.has_value(); }
-    bool draining() const { return m_heartbeat && m_heartbeat->draining; }
+    bool isCurrent(const ServerHeartbeat& heartbeat) const;
+    // Of the current instance; empty before the first one.
+    const std::optional<ServerHeartbeat>& lastHeartbeat() const { return m_heartbeat; }
+    bool draining() const { return m_heartbeat ? m_heartbeat->draining : m_expectedDraining; }
     bool hasShutDown() const { return m_shutDown; }
 
+    // Whether the current instance has sent more than one heartbeat, some time apart, so that it runs or ran until recently.
+    bool verified() const { return m_verified; }
+
 private:
     // Consecutive heartbeats that a live server may miss.
     static constexpr int maximumMissedHeartbeats = 3;
@@ -66,18 +79,44 @@
     static constexpr double presumedEndedIntervals = 2.5;
     static constexpr double presumedEndedIntervalsBeforeFirst = 1.5;
 
-    bool isOlderInstance(const ServerHeartbeat& heartbeat) const;
-    bool isSameInstance(const ServerHeartbeat& heartbeat) const;
+    // Heartbeat intervals between two heartbeats that show that an instance runs, and without a heartbeat after which the current
+    // instance may have ended. A delayed heartbeat may arrive together with others.
+    static constexpr double verificationIntervals = 0.5;
+    static constexpr double missedHeartbeatIntervals = 1.25;
+
+    // Instances kept that were replaced by others.
+    static constexpr std::size_t replacedInstanceLimit = 16;
+
+    struct Candidate {
+        ServerHeartbeat heartbeat;
+        MonotonicTime firstHeartbeat;
+    };
+
+    HeartbeatResult updateCurrent(const ServerHeartbeat& heartbeat);
+    void startInstance(const ServerHeartbeat& heartbeat, bool verified);
+    bool startsNewInstance(const ServerHeartbeat& heartbeat) const;
+    bool verifyCandidate(const ServerHeartbeat& heartbeat);
+    bool wasReplaced(const ServerHeartbeat& heartbeat) const;
 
     const IClock& m_clock;
     Duration m_heartbeatInterval;
     std::optional<ServerHeartbeat> m_heartbeat;
+    // When the first heartbeat of the current instance arrived.
+    MonotonicTime m_instanceStart;
+    bool m_verified = false;
+    // Another instance whose heartbeats arrived last.
+    std::optional<Candidate> m_candidate;
+    // Last heartbeats of earlier instances, oldest first.
+    std::deque<ServerHeartbeat> m_replaced;
     MonotonicTime m_lastActivity;
     // Time of the last heartbeat, or since when the first one is expected; packets do not count.
     MonotonicTime m_lastHeartbeat;
     MonotonicTime m_lastAgentActivity;
     bool m_shutDown = false;
     bool m_heartbeatExpected = false;
+    // As the table had the expected server.
+    std::string m_expectedName;
+    bool m_expectedDraining = false;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/relayrouter.h
+++ b/src/passthrough/relayrouter.h
@@ -35,6 +35,10 @@
 
     std::uint32_t serverId() const { return m_serverId; }
 
+    // Called when the server may hold flows that are not recorded here. Packets of unknown flows are delivered to it, as after a
+    // start of the agent, until all such flows have ended.
+    void probeUnknownFlows();
+
     // While set, no new flow is accepted.
     void setShuttingDown(bool shuttingDown) { m_shuttingDown = shuttingDown; }
 
@@ -76,7 +80,8 @@
 
     RelayRouterOptions m_options;
     SearchBudget m_searchBudget;
-    MonotonicTime m_startTime;
+    // Since when all flows of the server are recorded.
+    MonotonicTime m_recordedSince;
     std::uint32_t m_serverId = 0;
     std::uint32_t m_serviceId = 0;
     bool m_shuttingDown = false;
--- a/src/passthrough/tests/localserver.cpp
+++ b/src/passthrough/tests/localserver.cpp
@@ -97,7 +97,7 @@
 TEST(LocalServer, ExpectedServerWithoutHeartbeatBecomesSilent)
 {
     CHECK_FALSE(server.silent());
-    server.expectHeartbeat();
+    server.expectHeartbeat("i-1", false);
     CHECK_FALSE(server.silent());
     clock.advance(2 * heartbeatInterval);
     CHECK(server.presumedEnded(portOpen));
@@ -129,8 +129,117 @@
 TEST(LocalServer, ServerWithClosedPortHasEndedIfAgentStopsBeforeFirstHeartbeat)
 {
     CHECK_FALSE(server.presumedEnded(portClosed));
-    server.expectHeartbeat();
+    server.expectHeartbeat("i-1", false);
     // Only the agent was restarted: the server still runs.
     CHECK_FALSE(server.presumedEnded(portOpen));
     CHECK(server.presumedEnded(portClosed));
 }
+
+// Guards against a drain that is acknowledged and ignored: a server that restarts after its clock jumped back reports an earlier start
+// than the instance before (review/5).
+TEST(LocalServer, RestartWithEarlierStartTimeIsAcceptedOnceItKeepsSendingHeartbeats)
+{
+    server.applyHeartbeat(makeHeartbeat("i-1", 2500, 1));
+    clock.advance(heartbeatInterval);
+    server.applyHeartbeat(makeHeartbeat("i-1", 2500, 2));
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 1500, 1)) == HeartbeatResult::Unverified);
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 1500, 2)) == HeartbeatResult::NewInstance);
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 1500, 3, true)) == HeartbeatResult::DrainStarted);
+    CHECK(server.draining());
+}
+
+// Guards against a delayed heartbeat of an instance that has ended, which reports a later or an earlier start: it must neither return
+// nor end the drain of the one that runs.
+TEST(LocalServer, DelayedHeartbeatsOfReplacedInstanceDoNotEndDrain)
+{
+    for (const std::uint64_t startedAt : { 200, 2000 }) {
+        LocalServer restarted { clock, heartbeatInterval };
+        restarted.applyHeartbeat(makeHeartbeat("i-1", startedAt, 1));
+        for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+            clock.advance(heartbeatInterval);
+            restarted.applyHeartbeat(makeHeartbeat("i-1", 1000, sequence));
+        }
+        clock.advance(heartbeatInterval);
+        CHECK(restarted.applyHeartbeat(makeHeartbeat("i-1", 1000, 4, true)) == HeartbeatResult::DrainStarted);
+        for (std::uint64_t sequence = 2; sequence <= 6; ++sequence) {
+            clock.advance(heartbeatInterval / 2);
+            CHECK(restarted.applyHeartbeat(makeHeartbeat("i-1", startedAt, sequence)) == HeartbeatResult::Stale);
+            clock.advance(heartbeatInterval / 2);
+            CHECK(restarted.applyHeartbeat(makeHeartbeat("i-1", 1000, sequence + 3, true)) == HeartbeatResult::Unchanged);
+            CHECK(restarted.draining());
+        }
+    }
+}
+
+// Heartbeats that a partition held up arrive together, after the instance that runs has missed one of its own.
+TEST(LocalServer, DelayedHeartbeatsThatArriveTogetherDoNotVerifyTheirInstance)
+{
+    server.applyHeartbeat(makeHeartbeat("i-1", 100, 1));
+    clock.advance(heartbeatInterval);
+    server.applyHeartbeat(makeHeartbeat("i-1", 200, 1, true));
+    clock.advance(2 * heartbeatInterval);
+    for (std::uint64_t sequence = 2; sequence <= 5; ++sequence)
+        CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, sequence)) == HeartbeatResult::Stale);
+    CHECK(server.draining());
+}
+
+// Guards against an instance that was replaced by mistake and could never return.
+TEST(LocalServer, ReplacedInstanceThatKeepsSendingHeartbeatsReturns)
+{
+    server.applyHeartbeat(makeHeartbeat("i-1", 100, 7));
+    clock.advance(heartbeatInterval / 2);
+    // The first heartbeat of an instance that ended at once, delayed.
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 2000, 1)) == HeartbeatResult::NewInstance);
+    clock.advance(heartbeatInterval / 2);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, 8)) == HeartbeatResult::Stale);
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, 9)) == HeartbeatResult::NewInstance);
+    CHECK(server.verified());
+}
+
+// Guards against a shutdown that names the server only: one of an earlier instance, delayed, ended the use of the one that runs.
+TEST(LocalServer, InstanceThatKeepsSendingHeartbeatsOutlivesDelayedShutdownOfEarlierOne)
+{
+    server.applyHeartbeat(makeHeartbeat("i-1", 100, 1));
+    CHECK(server.markShutDown("i-1"));
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, 2)) == HeartbeatResult::Stale);
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, 3)) == HeartbeatResult::NewInstance);
+    CHECK_FALSE(server.hasShutDown());
+}
+
+// The clock's resolution or a jump may give two starts the same time.
+TEST(LocalServer, RestartWithSameStartTimeIsAcceptedOnceItKeepsSendingHeartbeats)
+{
+    server.applyHeartbeat(makeHeartbeat("i-1", 100, 9, true));
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, 1)) == HeartbeatResult::Stale);
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, 2)) == HeartbeatResult::NewInstance);
+    CHECK_FALSE(server.draining());
+}
+
+// Guards against an agent that forgets a drain when it restarts: the first heartbeat that it gets may be a delayed one.
+TEST(LocalServer, OneHeartbeatDoesNotEndDrainOfExpectedServer)
+{
+    server.expectHeartbeat("i-1", true);
+    CHECK(server.draining());
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 2000, 4)) == HeartbeatResult::Unverified);
+    CHECK(server.draining());
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 1000, 9, true)) == HeartbeatResult::NewInstance);
+    CHECK(server.draining());
+}
+
+// Guards against a shutdown that is acknowledged and ignored because the agent has just started.
+TEST(LocalServer, ShutdownOfExpectedServerIsRecorded)
+{
+    server.expectHeartbeat("i-1", true);
+    CHECK(server.markShutDown("i-1"));
+    CHECK(server.hasShutDown());
+    CHECK(server.presumedEnded(portOpen));
+}
--- a/src/passthrough/tests/passthroughagent.cpp
+++ b/src/passthrough/tests/passthroughagent.cpp
@@ -1,7 +1,5 @@
 #include "dataplane/genevecodec.h"
 #include "dataplane/types/genevemessage.h"
-#include "fleet/ifleetclient.h"
-#include "fleet/itablesource.h"
 #include "foundation/error.h"
 #include "foundation/irolemodule.h"
 #include "foundation/metrics.h"
@@ -10,6 +8,7 @@
 #include "passthrough/iheartbeathandler.h"
 #include "passthrough/ipacketformat.h"
 #include "passthrough/passthroughmodules.h"
+#include "passthrough/tests/fakefleet.h"
 #include "passthrough/tests/testtable.h"
 #include "passthrough/types/serverheartbeat.h"
 #include "settings.pb.h"
@@ -23,6 +22,7 @@
 #include <future>
 #include <mutex>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace clementinesill;
@@ -34,6 +34,8 @@
 constexpr std::chrono::seconds waitTimeout { 20 };
 // Within this time an agent that does not wait for its loop has acknowledged a heartbeat.
 constexpr std::chrono::milliseconds earlyAcknowledgement { 100 };
+// Heartbeat interval of the tests that wait for heartbeats.
+constexpr std::chrono::milliseconds shortInterval { 200 };
 
 // A loopback address per process, so that test programs that run concurrently share no port.
 Endpoint loopback(std::uint16_t port)
@@ -88,24 +90,6 @@
     bool m_hold = false;
 };
 
-class FakeFleet final : public fleet::IFleetClient, public fleet::ITableSource {
-public:
-    void start() override { }
-    void stop() override { }
-    fleet::ITableSource& tables() override { return *this; }
-    fleet::Registration registerServer(const schema::ServerAnnouncement&) override { return { .serverId = 1, .incarnation = 1 }; }
-    bool renew(const schema::RenewRequest&) override { return true; }
-    void leave(const fleet::Registration&, bool) override { }
-    void interruptCalls() override { }
-    std::shared_ptr<const fleet::FleetTable> table() const override { return current; }
-    MonotonicTime confirmedAt() const override { return {}; }
-    MonotonicTime leaderConfirmedAt() const override { return {}; }
-    void recordSeenVersion(std::uint64_t) override { }
-    std::uint64_t highestVersionSeen() const override { return 0; }
-
-    std::shared_ptr<const fleet::FleetTable> current;
-};
-
 class FakeListener final : public net::IListener {
 public:
     void stop() override { }
@@ -266,3 +250,39 @@
     sendSyn(9);
     CHECK(server.waitForPacket());
 }
+
+// Guards against a drain that is acknowledged and ignored: the restarted server reports an earlier start than the instance before,
+// since its clock jumped back (review/5).
+TEST(PassThroughAgent, OpensNoFlowAfterDrainOfServerWhoseClockJumpedBackIsAcknowledged)
+{
+    agent.reset();
+    settings.mutable_agent()->mutable_pass_through()->set_heartbeat_ms(static_cast<std::uint32_t>(shortInterval.count()));
+    agent = makeAgent(settings);
+    agent->start();
+    auto first = heartbeat(1, false);
+    first.startedAtMs += 2400;
+    heartbeats->onHeartbeat(first);
+    auto second = heartbeat(1, true);
+    bool acknowledged = false;
+    for (; !acknowledged && second.sequence < 100; ++second.sequence) {
+        std::this_thread::sleep_for(shortInterval);
+        try {
+            heartbeats->onHeartbeat(second);
+            acknowledged = true;
+        } catch (const Error& error) {
+            CHECK(error.kind() == ErrorKind::Unavailable);
+        }
+    }
+    CHECK(acknowledged);
+    checkNoFlowOpensAfter([&] { heartbeats->onHeartbeat(second); });
+}
+
+// Guards against the same for a heartbeat that tells nothing about the server, since its sender may have ended.
+TEST(PassThroughAgent, DoesNotAcknowledgeDrainOfInstanceThatIsNotVerified)
+{
+    auto delayed = heartbeat(7, true);
+    delayed.startedAtMs -= 1;
+    CHECK_THROWS(Error, heartbeats->onHeartbeat(delayed));
+    sendSyn(9);
+    CHECK(server.waitForPacket());
+}
--- a/src/passthrough/tests/relayrouter.cpp
+++ b/src/passthrough/tests/relayrouter.cpp
@@ -233,7 +233,7 @@
     LocalServer silentServer(clock, testHeartbeatInterval);
     RelayRouter restarted({ .zone = "mandaue", .flows = agent.flows, .server = silentServer, .load = agent.load, .coldStartLimit = agent.coldStartLimit, .misses = agent.misses, .clock = clock });
     restarted.setServer(1, deskService);
-    silentServer.expectHeartbeat();
+    silentServer.expectHeartbeat("server-1", false);
     CHECK_DECISION(RelayAction::Probe, RelayReason::AgentRecentlyStarted, restarted.decide(agent.search(), callerPacket(5000), agent.view()));
     clock.advance(4 * testHeartbeatInterval);
     CHECK_DECISION(RelayAction::Forward, RelayReason::NotHeld, restarted.decide(agent.search(), callerPacket(5000), agent.view()));
--- /dev/null
+++ b/src/passthrough/tests/serverregistrar.cpp
@@ -0,0 +1,55 @@
+#include "passthrough/internal/serverregistrar.h"
+
+#include "passthrough/tests/fakefleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace clementinesill;
+using namespace clementinesill::passthrough;
+
+// clang-format off
+TEST_GROUP(ServerRegistrar)
+{
+    FakeFleet fleet;
+    ServerRegistrar registrar { fleet, "127.0.0.1:8172", [](const auto&) {}, [] {} };
+
+    void teardown() override { registrar.stop(); }
+
+    static ServerHeartbeat heartbeat(std::uint64_t startedAtMs)
+    {
+        return { .name = "server-1", .service = "desk", .zone = "mandaue", .slots = 8, .sequence = 1, .startedAtMs = startedAtMs };
+    }
+};
+// clang-format on
+
+// Guards against a server that is never registered again because a delayed heartbeat of an earlier instance had replaced it.
+TEST(ServerRegistrar, VerifiedInstanceThatWasReplacedGetsAnotherBootId)
+{
+    registrar.setServer(heartbeat(100), { .restarted = true });
+    CHECK(fleet.waitForAnnouncements(1));
+    {
+        const std::lock_guard lock(fleet.mutex);
+        fleet.replacedBootIds.insert(fleet.announcedBootIds.front());
+    }
+    registrar.setServer(heartbeat(100), { .restarted = true, .verified = true });
+    CHECK(fleet.waitForAnnouncements(3));
+    const std::lock_guard lock(fleet.mutex);
+    CHECK(fleet.announcedBootIds[1] == fleet.announcedBootIds[0]);
+    CHECK(fleet.announcedBootIds[2] != fleet.announcedBootIds[0]);
+}
+
+// Guards against a delayed heartbeat that registers an instance which the controllers know to be replaced.
+TEST(ServerRegistrar, InstanceThatIsNotVerifiedKeepsItsBootId)
+{
+    registrar.setServer(heartbeat(100), { .restarted = true });
+    CHECK(fleet.waitForAnnouncements(1));
+    {
+        const std::lock_guard lock(fleet.mutex);
+        fleet.replacedBootIds.insert(fleet.announcedBootIds.front());
+    }
+    registrar.setServer(heartbeat(100), { .restarted = true });
+    // The second attempt is made after the renewal interval.
+    CHECK(fleet.waitForAnnouncements(3));
+    const std::lock_guard lock(fleet.mutex);
+    CHECK(fleet.announcedBootIds[2] == fleet.announcedBootIds[0]);
+}
