Keep the servers of a service that the configuration no longer lists

Cause: the controllers removed all servers of a service that is not listed. The balancers' cached holders were then not in the table, the search visited the servers that were left, and reset the flow, since every server of a confirmed table had been asked. On the agents of the new service log flow_reset with held_by_nobody, 8 for 8 flows.

Change: such a service is retired. Its servers stay in the table until they leave, their leases expire or their address is used by another; no route or address leads to the service, so it takes no new flows. A service that is listed again keeps its id, and its servers. Retired services without servers are kept up to 256. A balancer starts the search for an open flow at another service if the one that the route has now has no server.

Ruled out: a reset by the old service's agents; they log none.

--- a/src/control/fleetstate.h
+++ b/src/control/fleetstate.h
@@ -52,6 +52,8 @@
     CommandResult applyReadBarrier(const schema::Command& command);
 
     void changeServices(const google::protobuf::RepeatedPtrField<schema::Service>& services);
+    void retireService(schema::Service& service);
+    void evictRetiredServices();
     void changeZones(const schema::ConfigChange& config);
     void setZone(const std::string& name, schema::ZoneState state);
     void markServersChanged(const std::vector<std::uint32_t>& ids);
--- a/src/control/internal/fleetstate.cpp
+++ b/src/control/internal/fleetstate.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t eventLimit = 2048;
 // Number of versions that a daemon can be behind and still receive a delta instead of the whole table.
 constexpr std::size_t tableHistoryLimit = 4096;
+// Services kept that the configuration no longer names and that have no server in the table; those with the lowest ids are evicted
+// first. A server that was cut off returns under the same ids.
+constexpr std::size_t retiredServiceLimit = 256;
 
 CommandResult rejection(schema::Outcome::Code code, const std::string& message)
 {
@@ -156,23 +159,19 @@
     std::map<std::string, schema::Service> newServices;
     for (const auto& service : services)
         newServices[service.name()] = service;
-    for (auto it = m_services.begin(); it != m_services.end();) {
-        const auto found = newServices.find(it->second.name());
+    for (auto& [id, current] : m_services) {
+        const auto found = newServices.find(current.name());
         if (found == newServices.end()) {
-            markServersChanged(m_servers.removeService(it->first));
-            m_tableChange.services.insert(it->first);
-            addEvent("service_removed", it->second.name(), "the configuration no longer names it");
-            it = m_services.erase(it);
+            retireService(current);
             continue;
         }
-        found->second.set_id(it->first);
-        if (!google::protobuf::util::MessageDifferencer::Equals(found->second, it->second)) {
-            it->second = found->second;
-            m_tableChange.services.insert(it->first);
-            addEvent("service_changed", it->second.name(), "its record changed");
+        found->second.set_id(id);
+        if (!google::protobuf::util::MessageDifferencer::Equals(found->second, current)) {
+            addEvent("service_changed", current.name(), current.retired() ? "the configuration names it again" : "its record changed");
+            current = found->second;
+            m_tableChange.services.insert(id);
         }
         newServices.erase(found);
-        ++it;
     }
     for (auto& [name, service] : newServices) {
         service.set_id(m_nextServiceId);
@@ -180,6 +179,31 @@
         m_services[m_nextServiceId++] = service;
         addEvent("service_added", name, "the configuration names it");
     }
+    evictRetiredServices();
+}
+
+// The servers stay in the table: their open flows belong to routes that may be there still, with another service as target.
+void FleetState::retireService(schema::Service& service)
+{
+    if (service.retired())
+        return;
+    service.set_retired(true);
+    m_tableChange.services.insert(service.id());
+    addEvent("service_retired", service.name(), "the configuration no longer names it; its open flows continue");
+}
+
+void FleetState::evictRetiredServices()
+{
+    std::vector<std::uint32_t> unused;
+    for (const auto& [id, service] : m_services) {
+        if (service.retired() && !m_servers.hasServers(id))
+            unused.push_back(id);
+    }
+    for (std::size_t index = 0; index + retiredServiceLimit < unused.size(); ++index) {
+        addEvent("service_removed", m_services[unused[index]].name(), "it has no servers and other services were retired since");
+        m_services.erase(unused[index]);
+        m_tableChange.services.insert(unused[index]);
+    }
 }
 
 CommandResult FleetState::changeDocument(const schema::Command& command)
--- a/src/control/internal/serverregistry.cpp
+++ b/src/control/internal/serverregistry.cpp
@@ -170,16 +170,9 @@
     return found;
 }
 
-std::vector<std::uint32_t> ServerRegistry::removeService(std::uint32_t serviceId)
+bool ServerRegistry::hasServers(std::uint32_t serviceId) const
 {
-    std::vector<std::uint32_t> removed;
-    for (auto& [id, record] : m_records) {
-        if (record.removed() || record.server().service_id() != serviceId)
-            continue;
-        remove(record);
-        removed.push_back(id);
-    }
-    return removed;
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto& entry) { return !entry.second.removed() && entry.second.server().service_id() == serviceId; });
 }
 
 const schema::ServerRecord* ServerRegistry::find(std::uint32_t id) const
--- a/src/control/serverregistry.h
+++ b/src/control/serverregistry.h
@@ -38,8 +38,8 @@
     // Drains or resumes all servers with the name and returns their ids; empty if no server in the table has the name.
     std::vector<std::uint32_t> drain(const std::string& name, bool resume);
 
-    // Permanently removes all servers of the service from the table and returns their ids.
-    std::vector<std::uint32_t> removeService(std::uint32_t serviceId);
+    // Whether the table has a server of the service.
+    bool hasServers(std::uint32_t serviceId) const;
 
     // Null if no server has the id.
     const schema::ServerRecord* find(std::uint32_t id) const;
--- a/src/control/tests/configdocument.cpp
+++ b/src/control/tests/configdocument.cpp
@@ -139,3 +139,28 @@
     CHECK(state.apply(zoneCommand("kat-a", schema::ZONE_STATE_IN)).code == schema::Outcome::CODE_OK);
     CHECK(state.zones().at("kat-a").state() == schema::ZONE_STATE_IN);
 }
+
+// Guards against resets of all open flows of a service that a document no longer lists though their route stays: a search for their
+// holder visited all servers of the table, which had lost it (review/4).
+TEST(ConfigDocument, ServerOfServiceThatIsNoLongerListedStaysInTable)
+{
+    state.apply(documentCommand(1, "one", { "198.18.0.1:80" }));
+    schema::Command announcement;
+    announcement.mutable_announcement()->set_name("server-1");
+    announcement.mutable_announcement()->set_service("gallery");
+    announcement.mutable_announcement()->set_agent_endpoint("10.0.0.1:8172");
+    announcement.mutable_announcement()->set_boot_id(1);
+    const auto registered = state.apply(announcement);
+    schema::Command change;
+    change.mutable_document()->set_version(2);
+    change.mutable_document()->add_services()->set_name("desk");
+    auto& route = *change.mutable_document()->add_routes();
+    route.set_endpoint("198.18.0.1:80");
+    route.add_targets()->set_weight(1);
+    state.apply(change);
+    const auto table = state.table();
+    LONGS_EQUAL(1, table.servers_size());
+    LONGS_EQUAL(registered.serverId, table.servers(0).id());
+    LONGS_EQUAL(registered.incarnation, table.servers(0).incarnation());
+    CHECK(table.routes(0).targets(0).service_id() != table.servers(0).service_id());
+}
--- a/src/fleet/internal/fleettable.cpp
+++ b/src/fleet/internal/fleettable.cpp
@@ -55,6 +55,7 @@
         .idleTimeout = std::chrono::seconds(record.idle_timeout_seconds()),
         .requestTimeout = std::chrono::milliseconds(record.request_timeout_ms()),
         .coldFlowsPerSecond = record.cold_flows_per_second(),
+        .retired = record.retired(),
         .servers = {},
     };
 }
@@ -91,7 +92,7 @@
 {
     auto entry = serviceEntry(record);
     m_byId[record.id()] = m_services.size();
-    if (!record.address().empty())
+    if (!record.address().empty() && !record.retired())
         m_byEndpoint[endpointKey(entry.endpoint, entry.protocol)] = m_services.size();
     m_services.push_back(std::move(entry));
 }
--- a/src/fleet/tests/fleettable.cpp
+++ b/src/fleet/tests/fleettable.cpp
@@ -56,3 +56,21 @@
     CHECK(read.server(6) != nullptr);
     LONGS_EQUAL(6, read.newestServerId());
 }
+
+// Guards against new flows to a service that the configuration no longer names, or to its address after that was given to another.
+TEST(FleetTable, AddressOfRetiredServiceIsFree)
+{
+    schema::Table table;
+    for (const std::uint32_t id : { 1, 2 }) {
+        auto& service = *table.add_services();
+        service.set_id(id);
+        service.set_address("198.18.0.1");
+        service.set_port(80);
+        service.set_protocol(schema::PROTOCOL_TCP);
+        service.set_retired(id == 2);
+    }
+    addServer(table, 3, 2, "10.0.0.3:7000");
+    const FleetTable current(table);
+    LONGS_EQUAL(1, current.service(parseEndpoint("198.18.0.1:80"), TransportProtocol::Tcp)->id);
+    CHECK(current.server(3));
+}
--- a/src/fleet/types/serviceentry.h
+++ b/src/fleet/types/serviceentry.h
@@ -27,6 +27,8 @@
     std::chrono::milliseconds requestTimeout { 0 };
     // Maximum rate of new flows per second to a cold (recently started) server; 0 for no limit.
     double coldFlowsPerSecond = 0;
+    // The configuration no longer names the service; its servers finish their open flows.
+    bool retired = false;
     std::vector<ServerEntry> servers;
 };
 
--- a/src/operators/internal/readcommands.cpp
+++ b/src/operators/internal/readcommands.cpp
@@ -74,7 +74,7 @@
 {
     std::map<std::uint32_t, std::string> services;
     for (const auto& service : fleetTable.services())
-        services[service.id()] = service.name();
+        services[service.id()] = service.name() + (service.retired() ? " (retired)" : "");
     TextTable table({ "SERVER", "SERVICE", "ZONE", "STATE", "HEALTHY", "IN PROGRESS", "FLOWS", "SLOTS", "WARM-UP LIMIT", "SILENT MS", "ID", "INCARNATION", "AGENT" });
     for (const auto& entry : status.servers()) {
         const auto& server = entry.server();
--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -146,6 +146,14 @@
     return server && server->incarnation == cached->incarnation ? server : nullptr;
 }
 
+// The flow may have been opened when the route had another target, so its search may start anywhere.
+const fleet::ServiceEntry* EntryRouter::anyServiceWithServers(const fleet::FleetTable& table) const
+{
+    const auto& services = table.services();
+    const auto found = std::find_if(services.begin(), services.end(), [](const auto& service) { return !service.servers.empty(); });
+    return found == services.end() ? nullptr : &*found;
+}
+
 EntryDecision EntryRouter::routeExistingFlow(const fleet::FleetTable& table, std::uint64_t flowHash, std::uint32_t serviceId)
 {
     if (const auto* server = cachedServer(table, flowHash))
@@ -153,6 +161,8 @@
     m_cache.erase(flowHash);
     const auto* service = table.service(serviceId);
     if (!service || service->servers.empty())
+        service = anyServiceWithServers(table);
+    if (!service)
         return { .action = EntryAction::Drop, .reason = EntryReason::NoServer };
     const auto key = [&](const fleet::ServerEntry& server) -> std::optional<unsigned> { return (server.silent ? 2U : 0U) + (server.zone != m_zone ? 1U : 0U); };
     return { .action = EntryAction::Forward, .reason = EntryReason::FirstInRank, .server = lowestRanked(flowHash, service->servers, key) };
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -204,7 +204,7 @@
             m_registrar->setServer(heartbeat, { .restarted = result == HeartbeatResult::NewInstance, .verified = m_server.verified() });
         if (result == HeartbeatResult::Unchanged)
             return;
-        log(LogLevel::Info, result == HeartbeatResult::NewInstance ? "server_started" : "server_drain_changed", { { .key = logkey::server, .value = heartbeat.name }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "cold_ms", .value = std::to_string(heartbeat.coldRemaining.count()) }, { .key = "started_at_ms", .value = std::to_string(heartbeat.startedAtMs) }, { .key = "sequence", .value = std::to_string(heartbeat.sequence) }, { .key = "replaced_started_at_ms", .value = before ? std::to_string(before->startedAtMs) : "" } });
+        log(LogLevel::Info, result == HeartbeatResult::NewInstance ? "server_started" : "server_drain_changed", { { .key = logkey::server, .value = heartbeat.name }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "cold_ms", .value = std::to_string(heartbeat.coldRemaining.count()) }, { .key = "started_at_ms", .value = std::to_string(heartbeat.startedAtMs) }, { .key = "sequence", .value = std::to_string(heartbeat.sequence) }, { .key = "previous_started_at_ms", .value = before ? std::to_string(before->startedAtMs) : "" } });
     }
 
     // An acknowledgement tells the server that its state is known here, so a heartbeat whose state is not known is not acknowledged:
--- a/src/passthrough/tests/entryrouter.cpp
+++ b/src/passthrough/tests/entryrouter.cpp
@@ -108,3 +108,15 @@
         RC_ASSERT(found == expected);
     }));
 }
+
+// Guards against open flows that are dropped while the service that their route has now has no server yet.
+TEST(EntryRouter, ForwardsOpenFlowAlthoughItsRoutesServiceHasNoServer)
+{
+    auto& service = *tables.table().add_services();
+    service.set_id(9);
+    service.set_name("new-desk");
+    tables.table().mutable_routes(0)->mutable_targets(0)->set_service_id(service.id());
+    const auto table = tables.build();
+    CHECK(router.decide(callerPacket(5000), *table).action == EntryAction::Forward);
+    CHECK(router.decide(synPacket(), *table).action == EntryAction::Reset);
+}
