Test that half of a group loses no change of the members that the other half committed

A change that only the leader's half of six has received must not be committed by a majority of the five new members, since the other half may elect a leader by the membership before it once a disk is lost.

--- a/src/control/tests/groupdiscovery.cpp
+++ b/src/control/tests/groupdiscovery.cpp
@@ -365,6 +365,57 @@
     }));
 }
 
+// Guards against a change of the members that is committed by a majority of the new ones only: the other half of the six, which has not
+// received it, could elect a leader by the membership before it.
+TEST(GroupDiscovery, HalfThatMissedChangeOfMembersLosesNoCommittedCommand)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FiveVoters group(seed);
+        group.startAndJoin(FiveVoters::successor);
+        group.runFor(DiscoveredGroup::catchUpTime);
+        const auto leader = *group.leader();
+        std::vector<std::size_t> followers;
+        for (std::size_t index = 0; index < group.replicas.size(); ++index) {
+            if (index != leader)
+                followers.push_back(index);
+        }
+        const auto leaving = followers[0];
+        const std::set<std::size_t> otherHalf { leaving, followers[1], followers[2] };
+        const auto wiped = followers[3];
+        const auto separate = [&](const std::set<std::size_t>& side) {
+            group.partitions.clear();
+            for (const auto inside : side) {
+                for (std::size_t outside = 0; outside < group.replicas.size(); ++outside) {
+                    if (!side.contains(outside))
+                        group.partitions.insert({ inside, outside });
+                }
+            }
+        };
+        // Only the leader learns that the controller leaves, and only its own half can receive the change.
+        schema::LeaveGroupRequest announcement;
+        group.runOn(leaving, [&](auto& log) { announcement = log.leaveGroup(); });
+        separate(otherHalf);
+        group.runOn(leader, [&](auto& log) { log.onLeaveGroup(announcement); });
+        group.runFor(std::chrono::milliseconds(100));
+        const bool committed = group.leader() == leader && group.commit("during the partition");
+        group.kill(leaving);
+        group.startAndJoin(leaving);
+        group.wipeDataFolder(wiped);
+        separate({ leader, followers[4] });
+        group.runFor(std::chrono::seconds(1));
+        group.startAndJoin(wiped);
+        CHECK(group.returnsWithin(DiscoveredGroup::recoveryTime));
+        CHECK(otherHalf.contains(*group.leader()));
+        CHECK(group.runAndJoinUntil([&] { return group.commit("after the partition"); }));
+        group.partitions.clear();
+        group.runFor(std::chrono::seconds(3));
+        CHECK(group.leader().has_value());
+        const auto& machine = group.replicas[*group.leader()]->machine;
+        CHECK(hasApplied(machine, "after the partition"));
+        CHECK(!committed || hasApplied(machine, "during the partition"));
+    }
+}
+
 TEST(GroupDiscovery, ControllerThatRestartsAfterPlannedStopKeepsItsVoteIfNoLearnerWaits)
 {
     FiveVoters group(1);
