--- a/src/passthrough/internal/serverregistrar.cpp
+++ b/src/passthrough/internal/serverregistrar.cpp
@@ -163,7 +163,7 @@
         } catch (const Error& error) {
             if (error.kind() != ErrorKind::Conflict || !desired.verified || m_usedBootIds >= maximumBootIds)
                 throw;
-            log(LogLevel::Warn, "boot_id_replaced", { { .key = logkey::server, .value = desired.heartbeat->name }, { .key = logkey::reason, .value = error.problem() } });
+            log(LogLevel::Warn, "registration_rejected", { { .key = logkey::server, .value = desired.heartbeat->name }, { .key = logkey::reason, .value = error.problem() } });
             ++m_usedBootIds;
         }
     }
--- a/src/passthrough/localserver.h
+++ b/src/passthrough/localserver.h
@@ -61,8 +61,9 @@
     bool presumedEnded(const std::function<bool()>& refusesConnections) const;
 
     bool hasHeartbeat() const { return m_heartbeat.has_value(); }
+    // Whether the current instance sent the heartbeat.
     bool isCurrent(const ServerHeartbeat& heartbeat) const;
-    // Of the current instance; empty before the first one.
+    // Last heartbeat of the current instance; empty before the first one.
     const std::optional<ServerHeartbeat>& lastHeartbeat() const { return m_heartbeat; }
     bool draining() const { return m_heartbeat ? m_heartbeat->draining : m_expectedDraining; }
     bool hasShutDown() const { return m_shutDown; }
