Tidy the changes for the review findings

No behaviour changes. The deciding memberships need no allocation, since each check of the lease asks for them. Retired services are compared with the servers of the table in one pass, and only beyond their limit, instead of one pass for each of them at each change. The agent's expected server is one optional value instead of three members. anyServiceWithServers needs no state of the router. A leader's steps are in their former order. The two losses of disks in the tests of GroupDiscovery share their second half, with the draws of the earlier one unchanged.

--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -139,9 +139,9 @@
     return m_options.spareMembers && members > m_options.maxMembers && members % 2 == 0;
 }
 
-std::vector<const schema::Membership*> ReplicatedLog::decidingMemberships() const
+ReplicatedLog::Memberships ReplicatedLog::decidingMemberships() const
 {
-    std::vector<const schema::Membership*> memberships { m_log.membership() };
+    Memberships memberships { m_log.membership() };
     const auto* former = m_log.formerMembership();
     if (former && hasSpareMember(*former) && !isMembershipCommitted() && m_log.membership()->lost_member().empty())
         memberships.push_back(former);
@@ -212,12 +212,12 @@
 
 void ReplicatedLog::becomeLeader()
 {
-    m_replication.startTerm(m_log.lastIndex());
-    appendTermStart();
     m_role = ReplicaRole::Leader;
     m_leaderEndpoint = m_options.endpoint;
     m_leaderSince = m_clock.now();
     m_admissionObstacles.clear();
+    m_replication.startTerm(m_log.lastIndex());
+    appendTermStart();
     m_termStartIndex = m_log.lastIndex();
     log(LogLevel::Info, "leader_elected", { { .key = "term", .value = std::to_string(m_vote.term()) }, { .key = "index", .value = std::to_string(m_termStartIndex) } });
     flushEntries();
--- a/src/control/internal/fleetstate.cpp
+++ b/src/control/internal/fleetstate.cpp
@@ -196,9 +196,13 @@
 {
     std::vector<std::uint32_t> unused;
     for (const auto& [id, service] : m_services) {
-        if (service.retired() && !m_servers.hasServers(id))
+        if (service.retired())
             unused.push_back(id);
     }
+    if (unused.size() <= retiredServiceLimit)
+        return;
+    const auto inUse = m_servers.servicesWithServers();
+    std::erase_if(unused, [&](const auto id) { return inUse.contains(id); });
     for (std::size_t index = 0; index + retiredServiceLimit < unused.size(); ++index) {
         addEvent("service_removed", m_services[unused[index]].name(), "it has no servers and other services were retired since");
         m_services.erase(unused[index]);
--- a/src/control/internal/serverregistry.cpp
+++ b/src/control/internal/serverregistry.cpp
@@ -170,9 +170,14 @@
     return found;
 }
 
-bool ServerRegistry::hasServers(std::uint32_t serviceId) const
+std::set<std::uint32_t> ServerRegistry::servicesWithServers() const
 {
-    return std::any_of(m_records.begin(), m_records.end(), [&](const auto& entry) { return !entry.second.removed() && entry.second.server().service_id() == serviceId; });
+    std::set<std::uint32_t> services;
+    for (const auto& [id, record] : m_records) {
+        if (!record.removed())
+            services.insert(record.server().service_id());
+    }
+    return services;
 }
 
 const schema::ServerRecord* ServerRegistry::find(std::uint32_t id) const
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -7,6 +7,7 @@
 #include "control/types/groupredundancy.h"
 #include "control/types/replicatedlogoptions.h"
 
+#include <boost/container/static_vector.hpp>
 #include <map>
 #include <set>
 #include <string>
@@ -113,7 +114,8 @@
     bool hasSpareMember(const schema::Membership& membership) const;
     // The memberships in which a majority is required: the latest one and, until that is known to be committed, the one before if
     // half of its members may elect a leader.
-    std::vector<const schema::Membership*> decidingMemberships() const;
+    using Memberships = boost::container::static_vector<const schema::Membership*, 2>;
+    Memberships decidingMemberships() const;
     bool isMembershipCommitted() const;
     int grantedVotes(const schema::Membership& membership) const;
     bool isElected() const;
--- a/src/control/serverregistry.h
+++ b/src/control/serverregistry.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -38,8 +39,8 @@
     // Drains or resumes all servers with the name and returns their ids; empty if no server in the table has the name.
     std::vector<std::uint32_t> drain(const std::string& name, bool resume);
 
-    // Whether the table has a server of the service.
-    bool hasServers(std::uint32_t serviceId) const;
+    // Ids of the services that have a server in the table.
+    std::set<std::uint32_t> servicesWithServers() const;
 
     // Null if no server has the id.
     const schema::ServerRecord* find(std::uint32_t id) const;
--- a/src/control/tests/groupdiscovery.cpp
+++ b/src/control/tests/groupdiscovery.cpp
@@ -53,15 +53,7 @@
         auto second = random.below(2) ? *leader() : randomFollower();
         while (second == first)
             second = randomFollower();
-        wipeDataFolder(first);
-        wipeDataFolder(second);
-        for (std::size_t index = 0; index < replicas.size(); ++index)
-            kill(index);
-        runFor(std::chrono::seconds(1));
-        for (std::size_t index = 0; index < replicas.size(); ++index) {
-            if (!stopped.contains(index))
-                startAndJoin(index);
-        }
+        loseDisks({ first, second }, stopped, true);
     }
 
     // Two running controllers lose their disks and are back after a second; the others lose power with them if allPower is set.
@@ -73,17 +65,7 @@
             if (!stopped.contains(index))
                 lost.insert(index);
         }
-        for (std::size_t index = 0; index < replicas.size(); ++index) {
-            if (lost.contains(index))
-                wipeDataFolder(index);
-            else if (allPower)
-                kill(index);
-        }
-        runFor(std::chrono::seconds(1));
-        for (std::size_t index = 0; index < replicas.size(); ++index) {
-            if (!stopped.contains(index))
-                startAndJoin(index);
-        }
+        loseDisks({ lost.begin(), lost.end() }, stopped, allPower);
     }
 
     // Whether a leader is elected within the time.
@@ -104,6 +86,20 @@
         runFor(duration);
         startAndJoin(index);
     }
+
+private:
+    void loseDisks(const std::vector<std::size_t>& lost, const std::set<std::size_t>& stopped, bool allPower)
+    {
+        for (const auto index : lost)
+            wipeDataFolder(index);
+        for (std::size_t index = 0; allPower && index < replicas.size(); ++index)
+            kill(index);
+        runFor(std::chrono::seconds(1));
+        for (std::size_t index = 0; index < replicas.size(); ++index) {
+            if (!stopped.contains(index))
+                startAndJoin(index);
+        }
+    }
 };
 
 } // namespace
--- a/src/passthrough/entryrouter.h
+++ b/src/passthrough/entryrouter.h
@@ -42,7 +42,6 @@
     EntryDecision placeByRank(const fleet::ServiceEntry& service, std::uint64_t flowHash, std::uint32_t retransmissions) const;
     EntryDecision placeByLoad(const fleet::ServiceEntry& service, const fleet::RouteEntry& route, std::uint64_t flowHash, std::uint32_t retransmissions, const fleet::ServerEntry* previous) const;
     const fleet::ServerEntry* cachedServer(const fleet::FleetTable& table, std::uint64_t flowHash) const;
-    const fleet::ServiceEntry* anyServiceWithServers(const fleet::FleetTable& table) const;
     EntryDecision routeExistingFlow(const fleet::FleetTable& table, std::uint64_t flowHash, std::uint32_t serviceId);
 
     dataplane::IFlowCache& m_cache;
--- a/src/passthrough/internal/entryrouter.cpp
+++ b/src/passthrough/internal/entryrouter.cpp
@@ -24,6 +24,14 @@
     return { .action = EntryAction::Forward, .reason = reason, .server = &server, .opensFlow = true };
 }
 
+// The flow may have been opened when the route had another target, so its search may start anywhere.
+const fleet::ServiceEntry* anyServiceWithServers(const fleet::FleetTable& table)
+{
+    const auto& services = table.services();
+    const auto found = std::find_if(services.begin(), services.end(), [](const auto& service) { return !service.servers.empty(); });
+    return found == services.end() ? nullptr : &*found;
+}
+
 } // namespace
 
 std::string_view name(EntryReason reason)
@@ -146,14 +154,6 @@
     return server && server->incarnation == cached->incarnation ? server : nullptr;
 }
 
-// The flow may have been opened when the route had another target, so its search may start anywhere.
-const fleet::ServiceEntry* EntryRouter::anyServiceWithServers(const fleet::FleetTable& table) const
-{
-    const auto& services = table.services();
-    const auto found = std::find_if(services.begin(), services.end(), [](const auto& service) { return !service.servers.empty(); });
-    return found == services.end() ? nullptr : &*found;
-}
-
 EntryDecision EntryRouter::routeExistingFlow(const fleet::FleetTable& table, std::uint64_t flowHash, std::uint32_t serviceId)
 {
     if (const auto* server = cachedServer(table, flowHash))
--- a/src/passthrough/internal/localserver.cpp
+++ b/src/passthrough/internal/localserver.cpp
@@ -75,7 +75,7 @@
 bool LocalServer::startsNewInstance(const ServerHeartbeat& heartbeat) const
 {
     if (!m_heartbeat)
-        return heartbeat.draining || !m_expectedDraining;
+        return heartbeat.draining || !draining();
     if (isCurrent(heartbeat) || wasReplaced(heartbeat))
         return false;
     if (m_clock.now() - m_lastHeartbeat > presumedEndedIntervals * m_heartbeatInterval)
@@ -100,11 +100,10 @@
 {
     if (m_heartbeat)
         return;
-    m_expectedName = name;
-    m_expectedDraining = draining;
-    if (m_heartbeatExpected)
+    const bool wasExpected = m_expected.has_value();
+    m_expected = { .name = name, .draining = draining };
+    if (wasExpected)
         return;
-    m_heartbeatExpected = true;
     m_lastHeartbeat = m_clock.now();
     recordServerActivity();
 }
@@ -116,15 +115,15 @@
         return true;
     if (m_heartbeat)
         return elapsed > presumedEndedIntervals * m_heartbeatInterval;
-    return m_heartbeatExpected && (elapsed > presumedEndedIntervalsBeforeFirst * m_heartbeatInterval || refusesConnections());
+    return m_expected && (elapsed > presumedEndedIntervalsBeforeFirst * m_heartbeatInterval || refusesConnections());
 }
 
 bool LocalServer::markShutDown(const std::string& name)
 {
     if (m_candidate && m_candidate->heartbeat.name == name)
         startInstance(ServerHeartbeat(m_candidate->heartbeat), false);
-    const auto& currentName = m_heartbeat ? m_heartbeat->name : m_expectedName;
-    if (currentName.empty() || currentName != name)
+    const bool isKnown = m_heartbeat ? m_heartbeat->name == name : m_expected && m_expected->name == name;
+    if (!isKnown)
         return false;
     m_shutDown = true;
     return true;
--- a/src/passthrough/localserver.h
+++ b/src/passthrough/localserver.h
@@ -52,7 +52,7 @@
     void recordAgentActivity();
 
     // Whether neither heartbeats nor packets arrive, so that the server is dead or stuck.
-    bool silent() const { return (m_heartbeat || m_heartbeatExpected) && m_clock.now() - m_lastActivity > maximumMissedHeartbeats * m_heartbeatInterval; }
+    bool silent() const { return (m_heartbeat || m_expected) && m_clock.now() - m_lastActivity > maximumMissedHeartbeats * m_heartbeatInterval; }
 
     // Whether the server has reported its shutdown, or has missed so many heartbeats that it is presumed to have ended; checked
     // when the agent shuts down. An agent that is stopped before the first heartbeat cannot tell from heartbeats, so it calls
@@ -65,7 +65,7 @@
     bool isCurrent(const ServerHeartbeat& heartbeat) const;
     // Last heartbeat of the current instance; empty before the first one.
     const std::optional<ServerHeartbeat>& lastHeartbeat() const { return m_heartbeat; }
-    bool draining() const { return m_heartbeat ? m_heartbeat->draining : m_expectedDraining; }
+    bool draining() const { return m_heartbeat ? m_heartbeat->draining : m_expected && m_expected->draining; }
     bool hasShutDown() const { return m_shutDown; }
 
     // Whether the current instance has sent more than one heartbeat, some time apart, so that it runs or ran until recently.
@@ -93,6 +93,11 @@
         MonotonicTime firstHeartbeat;
     };
 
+    struct ExpectedServer {
+        std::string name;
+        bool draining = false;
+    };
+
     HeartbeatResult updateCurrent(const ServerHeartbeat& heartbeat);
     void startInstance(const ServerHeartbeat& heartbeat, bool verified);
     bool startsNewInstance(const ServerHeartbeat& heartbeat) const;
@@ -114,10 +119,8 @@
     MonotonicTime m_lastHeartbeat;
     MonotonicTime m_lastAgentActivity;
     bool m_shutDown = false;
-    bool m_heartbeatExpected = false;
-    // As the table had the expected server.
-    std::string m_expectedName;
-    bool m_expectedDraining = false;
+    // The server that the table has on this VM, until the first heartbeat.
+    std::optional<ExpectedServer> m_expected;
 };
 
 } // namespace clementinesill::passthrough
