Keep an acknowledged drain until its process has ended

Cause: the order of two instances was still taken from a clock in one case. A heartbeat with sequence 1 and a later start was a restart at once, and with that the drain of the instance that runs was forgotten. Ruled out: the registration (the agent logs server_started with the delayed start before any registration), and the balancers (the agent itself admits).

Change: a server that drains or has shut down is closed, and no heartbeat of any instance opens it, whatever it reports, until the agent knows that the process which closed it is gone. Either its port refuses connections and accepts them again later, or one instance sends five heartbeats in a row and nothing has closed the server for five intervals. That an instance runs no longer follows from two heartbeats if another one was heard in between, and a single delayed drain does not close a server that runs.

Three tests took a heartbeat for the end of a drain or a shutdown, which is the fault; they now show the port of the next process first, or see the longer series.

--- a/src/framework/net/connectionprobe.h
+++ b/src/framework/net/connectionprobe.h
@@ -1,8 +1,9 @@
 #pragma once
 
-namespace clementinesill {
-struct Endpoint;
-}
+#include "foundation/types/endpoint.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
 
 namespace clementinesill::net {
 
@@ -10,4 +11,7 @@
 // there is no response within 200 ms. Blocks until then.
 bool refusesConnections(const Endpoint& endpoint);
 
+// Whether a process accepts TCP connections at the endpoint. Empty if there is no response within 200 ms.
+boost::asio::awaitable<std::optional<bool>> acceptsConnections(Endpoint endpoint);
+
 } // namespace clementinesill::net
--- a/src/framework/net/internal/connectionprobe.cpp
+++ b/src/framework/net/internal/connectionprobe.cpp
@@ -1,9 +1,11 @@
 #include "net/connectionprobe.h"
 
-#include "foundation/types/endpoint.h"
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
 
 namespace clementinesill::net {
@@ -27,4 +29,15 @@
     return refused;
 }
 
+asio::awaitable<std::optional<bool>> acceptsConnections(Endpoint endpoint)
+{
+    boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(responseTimeout);
+    boost::system::error_code code;
+    co_await stream.async_connect(asio::ip::tcp::endpoint(asio::ip::address_v4(endpoint.address), endpoint.port), asio::redirect_error(asio::use_awaitable, code));
+    if (code && code != asio::error::connection_refused)
+        co_return std::nullopt;
+    co_return !code;
+}
+
 } // namespace clementinesill::net
--- a/src/passthrough/internal/localserver.cpp
+++ b/src/passthrough/internal/localserver.cpp
@@ -10,90 +10,118 @@
 // Servers count their heartbeats from 0 or 1.
 constexpr std::uint64_t firstSequence = 1;
 
-bool isSameInstance(const ServerHeartbeat& left, const ServerHeartbeat& right)
-{
-    return left.name == right.name && left.startedAtMs == right.startedAtMs;
-}
-
 } // namespace
 
 bool LocalServer::isCurrent(const ServerHeartbeat& heartbeat) const
 {
-    return m_heartbeat && isSameInstance(*m_heartbeat, heartbeat);
+    return m_heartbeat && m_heartbeat->isSameInstance(heartbeat);
 }
 
 HeartbeatResult LocalServer::applyHeartbeat(const ServerHeartbeat& heartbeat)
 {
-    if (isCurrent(heartbeat) && !m_shutDown && heartbeat.sequence >= m_heartbeat->sequence)
+    if (heartbeat.draining && closed())
+        m_lastClosed = m_clock.now();
+    if (isCurrent(heartbeat) && !m_shutDown && heartbeat.sequence >= m_heartbeat->sequence && !opensServer(heartbeat))
         return updateCurrent(heartbeat);
-    const bool isNew = startsNewInstance(heartbeat);
-    if (!isNew && !verifyCandidate(heartbeat))
-        return isCurrent(heartbeat) || wasReplaced(heartbeat) ? HeartbeatResult::Stale : HeartbeatResult::Unverified;
-    startInstance(heartbeat, !isNew);
-    return HeartbeatResult::NewInstance;
+    return applyOther(heartbeat);
 }
 
 HeartbeatResult LocalServer::updateCurrent(const ServerHeartbeat& heartbeat)
 {
     const auto now = m_clock.now();
     if (heartbeat.sequence > m_heartbeat->sequence) {
-        m_candidate.reset();
-        m_verified = m_verified || now - m_instanceStart >= verificationIntervals * m_heartbeatInterval;
+        m_candidate.clear();
+        m_verified = m_verified || now - m_undisputedSince >= verificationIntervals * m_heartbeatInterval;
     }
-    auto result = HeartbeatResult::Unchanged;
-    if (heartbeat.draining != m_heartbeat->draining)
-        result = heartbeat.draining ? HeartbeatResult::DrainStarted : HeartbeatResult::DrainEnded;
+    const bool drainStarted = heartbeat.draining && !m_heartbeat->draining;
+    if (drainStarted)
+        recordClosing();
     m_heartbeat = heartbeat;
     m_lastHeartbeat = now;
     recordServerActivity();
+    return drainStarted ? HeartbeatResult::DrainStarted : HeartbeatResult::Unchanged;
+}
+
+// Applies a heartbeat of another instance, or one of the current instance that differs from what is known of it.
+HeartbeatResult LocalServer::applyOther(const ServerHeartbeat& heartbeat)
+{
+    if (startsNewInstance(heartbeat)) {
+        startInstance(heartbeat, false);
+        return HeartbeatResult::NewInstance;
+    }
+    const auto result = notApplied(heartbeat);
+    m_candidate.record(heartbeat, m_clock.now());
+    if (opensServer(heartbeat) ? mayOpen() : candidateRuns()) {
+        startInstance(heartbeat, true);
+        return HeartbeatResult::NewInstance;
+    }
+    m_undisputedSince = m_clock.now();
     return result;
 }
 
+HeartbeatResult LocalServer::notApplied(const ServerHeartbeat& heartbeat) const
+{
+    const bool outdated = isCurrent(heartbeat) && (m_shutDown || heartbeat.sequence < m_heartbeat->sequence);
+    return outdated || wasReplaced(heartbeat) ? HeartbeatResult::Stale : HeartbeatResult::Unverified;
+}
+
+// Whether the server would get new flows because of this heartbeat. An instance that goes on after its shutdown was reported did
+// not report it: the report names the server only, so an earlier instance may have sent it.
+bool LocalServer::opensServer(const ServerHeartbeat& heartbeat) const
+{
+    const bool reportedByOther = m_shutDown && !draining() && isCurrent(heartbeat);
+    return closed() && !heartbeat.draining && !reportedByOther;
+}
+
+// Whether the candidate runs and the process that closed the server does not.
+bool LocalServer::mayOpen() const
+{
+    if (m_processReplaced)
+        return true;
+    return m_candidate.length() >= openingHeartbeats && m_clock.now() - m_lastClosed >= openingIntervals * m_heartbeatInterval;
+}
+
 void LocalServer::startInstance(const ServerHeartbeat& heartbeat, bool verified)
 {
-    std::erase_if(m_replaced, [&](const auto& replaced) { return isSameInstance(replaced, heartbeat); });
+    std::erase_if(m_replaced, [&](const auto& replaced) { return replaced.isSameInstance(heartbeat); });
     if (m_heartbeat && !isCurrent(heartbeat))
         m_replaced.push_back(*m_heartbeat);
     if (m_replaced.size() > replacedInstanceLimit)
         m_replaced.pop_front();
-    m_candidate.reset();
+    m_candidate.clear();
     m_heartbeat = heartbeat;
     m_shutDown = false;
+    recordClosing();
     m_verified = verified;
-    m_instanceStart = m_clock.now();
+    m_undisputedSince = m_clock.now();
     m_lastHeartbeat = m_clock.now();
     recordServerActivity();
 }
 
 bool LocalServer::wasReplaced(const ServerHeartbeat& heartbeat) const
 {
-    return std::any_of(m_replaced.begin(), m_replaced.end(), [&](const auto& replaced) { return isSameInstance(replaced, heartbeat); });
+    return std::any_of(m_replaced.begin(), m_replaced.end(), [&](const auto& replaced) { return replaced.isSameInstance(heartbeat); });
 }
 
-// Whether the heartbeat is accepted without a second one, so that the restart of a server takes effect at once. A drain that the
-// table still has is not ended by a single heartbeat.
+// Whether the heartbeat is accepted without a second one, so that the restart of a server takes effect at once.
 bool LocalServer::startsNewInstance(const ServerHeartbeat& heartbeat) const
 {
+    if (opensServer(heartbeat))
+        return false;
     if (!m_heartbeat)
-        return heartbeat.draining || !draining();
+        return true;
     if (isCurrent(heartbeat) || wasReplaced(heartbeat))
         return false;
     if (m_clock.now() - m_lastHeartbeat > presumedEndedIntervals * m_heartbeatInterval)
         return true;
-    return heartbeat.sequence <= firstSequence && (m_shutDown || heartbeat.startedAtMs > m_heartbeat->startedAtMs);
+    return !heartbeat.draining && heartbeat.sequence <= firstSequence && heartbeat.startedAtMs > m_heartbeat->startedAtMs;
 }
 
-bool LocalServer::verifyCandidate(const ServerHeartbeat& heartbeat)
+// Whether the candidate keeps sending heartbeats while the current instance sends none.
+bool LocalServer::candidateRuns() const
 {
     const auto now = m_clock.now();
-    if (!m_candidate || !isSameInstance(m_candidate->heartbeat, heartbeat)) {
-        m_candidate = { .heartbeat = heartbeat, .firstHeartbeat = now };
-        return false;
-    }
-    if (heartbeat.sequence <= m_candidate->heartbeat.sequence)
-        return false;
-    m_candidate->heartbeat = heartbeat;
-    return now - m_candidate->firstHeartbeat >= verificationIntervals * m_heartbeatInterval && now - m_lastHeartbeat > missedHeartbeatIntervals * m_heartbeatInterval;
+    return m_candidate.length() > 1 && m_candidate.age(now) >= verificationIntervals * m_heartbeatInterval && now - m_lastHeartbeat > missedHeartbeatIntervals * m_heartbeatInterval;
 }
 
 void LocalServer::expectHeartbeat(const std::string& name, bool draining)
@@ -101,6 +129,8 @@
     if (m_heartbeat)
         return;
     const bool wasExpected = m_expected.has_value();
+    if (draining && !this->draining())
+        recordClosing();
     m_expected = { .name = name, .draining = draining };
     if (wasExpected)
         return;
@@ -108,6 +138,28 @@
     recordServerActivity();
 }
 
+// Evidence from before the server was closed says nothing about the process that closed it.
+void LocalServer::recordClosing()
+{
+    m_lastClosed = m_clock.now();
+    m_processEnded = false;
+    m_processReplaced = false;
+}
+
+void LocalServer::recordPortState(bool acceptsConnections)
+{
+    if (!closedByReport())
+        return;
+    m_processReplaced = m_processEnded && acceptsConnections;
+    m_processEnded = m_processEnded || !acceptsConnections;
+}
+
+std::optional<ServerHeartbeat> LocalServer::confirmedHeartbeat() const
+{
+    const auto& candidate = m_candidate.last();
+    return m_processReplaced && candidate && opensServer(*candidate) ? candidate : std::nullopt;
+}
+
 bool LocalServer::presumedEnded(const std::function<bool()>& refusesConnections) const
 {
     const auto elapsed = m_clock.now() - m_lastHeartbeat;
@@ -118,13 +170,24 @@
     return m_expected && (elapsed > presumedEndedIntervalsBeforeFirst * m_heartbeatInterval || refusesConnections());
 }
 
+// Whether the process on this VM may be an instance with this name.
+bool LocalServer::mayRunAs(const std::string& name) const
+{
+    if (!m_heartbeat)
+        return m_expected && m_expected->name == name;
+    const auto& candidate = m_candidate.last();
+    if (m_heartbeat->name == name || (candidate && candidate->name == name))
+        return true;
+    return !m_verified && std::any_of(m_replaced.begin(), m_replaced.end(), [&](const auto& replaced) { return replaced.name == name; });
+}
+
 bool LocalServer::markShutDown(const std::string& name)
 {
-    if (m_candidate && m_candidate->heartbeat.name == name)
-        startInstance(ServerHeartbeat(m_candidate->heartbeat), false);
-    const bool isKnown = m_heartbeat ? m_heartbeat->name == name : m_expected && m_expected->name == name;
-    if (!isKnown)
+    if (!mayRunAs(name))
         return false;
+    if (!closedByReport())
+        recordClosing();
+    m_lastClosed = m_clock.now();
     m_shutDown = true;
     return true;
 }
@@ -137,8 +200,8 @@
         return;
     m_lastActivity += std::min(pause, now - m_lastActivity);
     m_lastHeartbeat += std::min(pause, now - m_lastHeartbeat);
-    if (m_candidate)
-        m_candidate->firstHeartbeat += std::min(pause, now - m_candidate->firstHeartbeat);
+    m_lastClosed += std::min(pause, now - m_lastClosed);
+    m_candidate.skip(pause);
 }
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -59,8 +59,10 @@
 constexpr std::chrono::seconds applyTimeout { 1 };
 // Heartbeat intervals within which a server that has become cold reports it.
 constexpr int coldReportIntervals = 2;
+// How often the port of a draining server is checked; a server takes longer to start again.
+constexpr std::chrono::milliseconds portCheckInterval { 200 };
 // In metrics and logs, indexed by HeartbeatResult.
-constexpr std::array<const char*, 6> heartbeatOutcomes { "accepted", "accepted", "accepted", "accepted", "outdated", "unverified" };
+constexpr std::array<const char*, 5> heartbeatOutcomes { "accepted", "accepted", "accepted", "outdated", "unverified" };
 
 class PassThroughAgent final : public IRoleModule, public IHeartbeatHandler {
 public:
@@ -89,6 +91,7 @@
     {
         m_relay.start();
         asio::co_spawn(m_loop, runPeriodicTasks(), asio::detached);
+        asio::co_spawn(m_loop, watchServerPort(), asio::detached);
         m_registrar = std::make_unique<ServerRegistrar>(
             m_fleet, m_settings.packet_endpoint(), [this](const auto& registration) { asio::post(m_loop, [this, registration] { onRegistered(registration); }); }, [this] { asio::post(m_loop, [this] { m_relay.onTableConfirmed(); }); });
         m_thread = std::thread([this] { m_loop.run(); });
@@ -118,8 +121,12 @@
     void onServerShutdown(const std::string& name) override
     {
         applyOnLoop([this, name] {
-            if (!m_server.markShutDown(name))
+            if (!m_server.markShutDown(name)) {
+                if (m_server.closed())
+                    throw Error(ErrorKind::Unavailable, "it is not known yet whether server '" + name + "' runs here", "send the report again");
                 return;
+            }
+            m_portTimer.cancel();
             log(LogLevel::Info, "server_left", { { .key = logkey::server, .value = name } });
             m_relay.releaseWaiting();
             m_registrar->setServerGone();
@@ -188,14 +195,21 @@
             log(LogLevel::Warn, "heartbeat_refused", { { .key = logkey::server, .value = heartbeat.name }, { .key = logkey::reason, .value = "the heartbeat is for service " + heartbeat.service + ", but this VM is configured for " + m_service } });
             return;
         }
+        const auto result = applyHeartbeat(heartbeat);
+        countHeartbeat(heartbeatOutcomes.at(static_cast<std::size_t>(result)));
+        if (!isApplied(result))
+            onHeartbeatNotApplied(heartbeat, result);
+    }
+
+    static bool isApplied(HeartbeatResult result) { return result != HeartbeatResult::Stale && result != HeartbeatResult::Unverified; }
+
+    HeartbeatResult applyHeartbeat(const ServerHeartbeat& heartbeat)
+    {
         const auto before = m_server.lastHeartbeat();
         const bool wasVerified = m_server.verified();
         const auto result = m_server.applyHeartbeat(heartbeat);
-        countHeartbeat(heartbeatOutcomes.at(static_cast<std::size_t>(result)));
-        if (result == HeartbeatResult::Stale || result == HeartbeatResult::Unverified) {
-            onHeartbeatNotApplied(heartbeat, result);
-            return;
-        }
+        if (!isApplied(result))
+            return result;
         if (result == HeartbeatResult::NewInstance)
             onNewInstance(heartbeat, !before);
         m_coldStartLimit.setColdFor(heartbeat.coldRemaining);
@@ -203,8 +217,10 @@
         if (result != HeartbeatResult::Unchanged || m_server.verified() != wasVerified)
             m_registrar->setServer(heartbeat, { .restarted = result == HeartbeatResult::NewInstance, .verified = m_server.verified() });
         if (result == HeartbeatResult::Unchanged)
-            return;
-        log(LogLevel::Info, result == HeartbeatResult::NewInstance ? "server_started" : "server_drain_changed", { { .key = logkey::server, .value = heartbeat.name }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "cold_ms", .value = std::to_string(heartbeat.coldRemaining.count()) }, { .key = "started_at_ms", .value = std::to_string(heartbeat.startedAtMs) }, { .key = "sequence", .value = std::to_string(heartbeat.sequence) }, { .key = "previous_started_at_ms", .value = before ? std::to_string(before->startedAtMs) : "" } });
+            return result;
+        m_portTimer.cancel();
+        log(LogLevel::Info, result == HeartbeatResult::NewInstance ? "server_started" : "server_drain_changed", { { .key = logkey::server, .value = heartbeat.name }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "cold_ms", .value = std::to_string(heartbeat.coldRemaining.count()) }, { .key = "started_at_ms", .value = std::to_string(heartbeat.startedAtMs) }, { .key = "sequence", .value = std::to_string(heartbeat.sequence) }, { .key = "verified", .value = m_server.verified() ? "true" : "false" }, { .key = "previous_started_at_ms", .value = before ? std::to_string(before->startedAtMs) : "" } });
+        return result;
     }
 
     // An acknowledgement tells the server that its state is known here, so a heartbeat whose state is not known is not acknowledged:
@@ -212,12 +228,14 @@
     void onHeartbeatNotApplied(const ServerHeartbeat& heartbeat, HeartbeatResult result)
     {
         const auto& current = m_server.lastHeartbeat();
-        log(LogLevel::Warn, "heartbeat_not_applied", { { .key = logkey::server, .value = heartbeat.name }, { .key = logkey::reason, .value = heartbeatOutcomes.at(static_cast<std::size_t>(result)) }, { .key = "started_at_ms", .value = std::to_string(heartbeat.startedAtMs) }, { .key = "sequence", .value = std::to_string(heartbeat.sequence) }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "current", .value = current ? current->name : "" }, { .key = "current_started_at_ms", .value = current ? std::to_string(current->startedAtMs) : "" }, { .key = "current_sequence", .value = current ? std::to_string(current->sequence) : "" } });
+        log(LogLevel::Warn, "heartbeat_not_applied", { { .key = logkey::server, .value = heartbeat.name }, { .key = logkey::reason, .value = heartbeatOutcomes.at(static_cast<std::size_t>(result)) }, { .key = "started_at_ms", .value = std::to_string(heartbeat.startedAtMs) }, { .key = "sequence", .value = std::to_string(heartbeat.sequence) }, { .key = "draining", .value = heartbeat.draining ? "true" : "false" }, { .key = "closed", .value = m_server.closed() ? "true" : "false" }, { .key = "current", .value = current ? current->name : "" }, { .key = "current_started_at_ms", .value = current ? std::to_string(current->startedAtMs) : "" }, { .key = "current_sequence", .value = current ? std::to_string(current->sequence) : "" } });
         // The rate of a cold server must hold although it is not known yet that this one has started.
         if (heartbeat.coldRemaining.count())
             m_coldStartLimit.assumeCold(std::min<Duration>(heartbeat.coldRemaining, coldReportIntervals * m_heartbeatInterval));
-        const bool stateKnown = m_server.isCurrent(heartbeat) && (!heartbeat.draining || m_server.draining() || m_server.hasShutDown());
-        if (!stateKnown)
+        if (m_server.awaitsNextProcess())
+            m_portTimer.cancel();
+        const bool isInForce = m_server.isCurrent(heartbeat) && heartbeat.draining && m_server.closed();
+        if (!isInForce)
             throw Error(ErrorKind::Unavailable, "it is not certain yet whether this instance of server '" + heartbeat.name + "' runs", "send the next heartbeat");
     }
 
@@ -266,6 +284,34 @@
             m_router.setServer(self->id, self->serviceId);
     }
 
+    // Notices that the process which closed the server has ended, so that the next one need not wait for its heartbeats to prove
+    // that it runs.
+    asio::awaitable<void> watchServerPort()
+    {
+        while (true) {
+            if (m_server.awaitsProcessEnd() || m_server.awaitsNextProcess())
+                co_await checkServerPort();
+            if (m_server.awaitsProcessEnd())
+                m_portTimer.expires_after(portCheckInterval);
+            else
+                m_portTimer.expires_at(MonotonicTime::max());
+            co_await m_portTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+
+    asio::awaitable<void> checkServerPort()
+    {
+        const bool wasRunning = m_server.awaitsProcessEnd();
+        const auto accepts = co_await net::acceptsConnections(m_serverEndpoint);
+        if (!accepts)
+            co_return;
+        m_server.recordPortState(*accepts);
+        if (wasRunning && !m_server.awaitsProcessEnd())
+            log(LogLevel::Info, "server_process_ended", { { .key = "endpoint", .value = format(m_serverEndpoint) } });
+        if (const auto heartbeat = m_server.confirmedHeartbeat())
+            applyHeartbeat(*heartbeat);
+    }
+
     asio::awaitable<void> runPeriodicTasks()
     {
         asio::steady_timer timer(m_loop);
@@ -322,6 +368,8 @@
     SystemClock m_clock;
     const Duration m_heartbeatInterval;
     asio::io_context m_loop { 1 };
+    // Wakes watchServerPort().
+    asio::steady_timer m_portTimer { m_loop };
     ServerLoad m_load;
     LocalServer m_server;
     ColdStartLimit m_coldStartLimit;
--- a/src/passthrough/localserver.h
+++ b/src/passthrough/localserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foundation/iclock.h"
+#include "passthrough/heartbeatseries.h"
 #include "passthrough/types/serverheartbeat.h"
 
 #include <deque>
@@ -12,13 +13,12 @@
 // How a heartbeat changed the state of the server.
 enum class HeartbeatResult {
     Unchanged,
-    // The server was restarted or replaced; it holds none of the earlier flows.
+    // The server was restarted or replaced, or no longer drains; whether it holds earlier flows is not known.
     NewInstance,
     DrainStarted,
-    DrainEnded,
     // Sent by an instance that another one has replaced, or received after a later heartbeat.
     Stale,
-    // Sent by an instance that was not heard before. Whether it runs, or has ended and its heartbeat was delayed, is not known yet.
+    // Whether its sender runs, or has ended and the heartbeat was delayed, is not known yet.
     Unverified,
 };
 
@@ -27,12 +27,17 @@
 // The start times that instances report come from a clock that may jump, so their order does not tell which instance runs. An
 // instance other than the current one is accepted at its first heartbeat only if that is clearly a new start, and otherwise once
 // it keeps sending heartbeats while the current one sends none: a delayed heartbeat has no successor.
+//
+// While the server is closed, no instance is accepted that would open it, until a series of its heartbeats shows that it runs, or
+// the server's port shows that the process which closed it has ended. This holds for all start times, sequences and names,
+// because a delayed heartbeat may have any.
 class LocalServer {
 public:
     // heartbeatInterval is the time between two heartbeats.
     LocalServer(const IClock& clock, Duration heartbeatInterval)
         : m_clock(clock)
         , m_heartbeatInterval(heartbeatInterval)
+        , m_candidate(heartbeatInterval)
     {
     }
 
@@ -44,6 +49,23 @@
     // Called when the server reports its shutdown. Returns false if no instance with this name is known.
     bool markShutDown(const std::string& name);
 
+    // Whether no new flow may reach the server: it drains or has shut down.
+    bool closed() const { return closedByReport(); }
+
+    // Called with whether the server's port accepts connections. After the server has reported that it drains or shuts down, a
+    // port that refuses connections and later accepts them again belongs to another process.
+    void recordPortState(bool acceptsConnections);
+
+    // Whether the port should be checked periodically, so that the end of the process is not missed.
+    bool awaitsProcessEnd() const { return closedByReport() && !m_processEnded; }
+
+    // Whether the port should be checked now: another process may have sent the candidate's heartbeats.
+    bool awaitsNextProcess() const { return closedByReport() && m_processEnded && m_candidate.last(); }
+
+    // The last heartbeat that was not applied, if the port has shown since that another process runs; applyHeartbeat() accepts it
+    // then. Empty otherwise.
+    std::optional<ServerHeartbeat> confirmedHeartbeat() const;
+
     // Called when a packet from the server arrives.
     void recordServerActivity() { m_lastActivity = m_clock.now(); }
 
@@ -68,7 +90,8 @@
     bool draining() const { return m_heartbeat ? m_heartbeat->draining : m_expected && m_expected->draining; }
     bool hasShutDown() const { return m_shutDown; }
 
-    // Whether the current instance has sent more than one heartbeat, some time apart, so that it runs or ran until recently.
+    // Whether the current instance has sent more than one heartbeat, some time apart, and no other instance one in between, so
+    // that it runs or ran until recently.
     bool verified() const { return m_verified; }
 
 private:
@@ -85,40 +108,52 @@
     static constexpr double verificationIntervals = 0.5;
     static constexpr double missedHeartbeatIntervals = 1.25;
 
+    // What opens a closed server without evidence from its port: this many heartbeats of one instance in a row, and this many
+    // heartbeat intervals in which none closed it.
+    static constexpr int openingHeartbeats = 5;
+    static constexpr double openingIntervals = 5;
+
     // Instances kept that were replaced by others.
     static constexpr std::size_t replacedInstanceLimit = 16;
 
-    struct Candidate {
-        ServerHeartbeat heartbeat;
-        MonotonicTime firstHeartbeat;
-    };
-
     struct ExpectedServer {
         std::string name;
         bool draining = false;
     };
 
+    bool closedByReport() const { return draining() || m_shutDown; }
+    void recordClosing();
+    bool mayRunAs(const std::string& name) const;
+    bool opensServer(const ServerHeartbeat& heartbeat) const;
+    bool mayOpen() const;
     HeartbeatResult updateCurrent(const ServerHeartbeat& heartbeat);
+    HeartbeatResult applyOther(const ServerHeartbeat& heartbeat);
+    HeartbeatResult notApplied(const ServerHeartbeat& heartbeat) const;
     void startInstance(const ServerHeartbeat& heartbeat, bool verified);
     bool startsNewInstance(const ServerHeartbeat& heartbeat) const;
-    bool verifyCandidate(const ServerHeartbeat& heartbeat);
+    bool candidateRuns() const;
     bool wasReplaced(const ServerHeartbeat& heartbeat) const;
 
     const IClock& m_clock;
     Duration m_heartbeatInterval;
     std::optional<ServerHeartbeat> m_heartbeat;
-    // When the first heartbeat of the current instance arrived.
-    MonotonicTime m_instanceStart;
+    // When the first heartbeat of the current instance, or the last one that was not applied, arrived.
+    MonotonicTime m_undisputedSince;
     bool m_verified = false;
-    // Another instance whose heartbeats arrived last.
-    std::optional<Candidate> m_candidate;
+    // The instance whose heartbeats were not applied last.
+    HeartbeatSeries m_candidate;
     // Last heartbeats of earlier instances, oldest first.
     std::deque<ServerHeartbeat> m_replaced;
     MonotonicTime m_lastActivity;
     // Time of the last heartbeat, or since when the first one is expected; packets do not count.
     MonotonicTime m_lastHeartbeat;
+    // When a heartbeat or the table last said that the server is closed.
+    MonotonicTime m_lastClosed;
     MonotonicTime m_lastAgentActivity;
     bool m_shutDown = false;
+    // Since the server was closed, its port has refused connections, and has accepted them again.
+    bool m_processEnded = false;
+    bool m_processReplaced = false;
     // The server that the table has on this VM, until the first heartbeat.
     std::optional<ExpectedServer> m_expected;
 };
--- a/src/passthrough/tests/agentfixture.h
+++ b/src/passthrough/tests/agentfixture.h
@@ -34,6 +34,14 @@
 
     agent::TableView view() const { return { .table = *table, .confirmedAt = confirmedAt }; }
 
+    // Another process serves in place of one that drained.
+    void replaceServerProcess()
+    {
+        server.recordPortState(false);
+        server.recordPortState(true);
+        sendHeartbeat();
+    }
+
     // Returns the search of a packet received directly from a balancer with the same table.
     Search search() const
     {
--- a/src/passthrough/tests/passthroughagent.cpp
+++ b/src/passthrough/tests/passthroughagent.cpp
@@ -194,6 +194,17 @@
 
     void sendSyn(std::uint16_t callerPort) { others.sendSyn(callerPort, agentEndpoint, fleet.current->version()); }
 
+    // Checks that no flow is opened at the server, also once its registration is complete.
+    void checkRejectsFlows()
+    {
+        for (std::uint16_t port = 1; port <= 5; ++port) {
+            sendSyn(port);
+            CHECK(others.waitForPacket());
+            std::this_thread::sleep_for(earlyAcknowledgement);
+        }
+        LONGS_EQUAL(0, server.receiveAll());
+    }
+
     // Stops the loop at the first of two SYNs that it reads in one wake-up, calls report meanwhile, and checks that no flow is
     // opened at the server after report has returned.
     void checkNoFlowOpensAfter(const std::function<void()>& report)
@@ -286,3 +297,13 @@
     sendSyn(9);
     CHECK(server.waitForPacket());
 }
+
+// Guards against a drain that is undone by the delayed first heartbeat of an instance that had a later clock (variant of review/5).
+TEST(PassThroughAgent, OpensNoFlowAfterDelayedHeartbeatOfEarlierInstance)
+{
+    heartbeats->onHeartbeat(heartbeat(2, true));
+    auto delayed = heartbeat(1, false);
+    delayed.startedAtMs += 2400;
+    CHECK_THROWS(Error, heartbeats->onHeartbeat(delayed));
+    checkRejectsFlows();
+}
--- a/src/passthrough/types/serverheartbeat.h
+++ b/src/passthrough/types/serverheartbeat.h
@@ -22,6 +22,9 @@
     std::uint64_t sequence = 0;
     // When this instance started, in milliseconds since the Unix epoch by the server's clock; 0 if not reported.
     std::uint64_t startedAtMs = 0;
+
+    // Whether both were sent by one instance. Two instances may report the same start.
+    bool isSameInstance(const ServerHeartbeat& other) const { return name == other.name && startedAtMs == other.startedAtMs; }
 };
 
 } // namespace clementinesill::passthrough
