Accept no heartbeat before the table says whether the server drains

Callers saw: after its restart, an agent opens flows at a server whose drain an earlier agent had acknowledged, if a delayed heartbeat of another instance arrives before the table.

Cause: without a table, the first heartbeat of any instance decided. It was registered under its own boot id, which ends the drain at the controllers.

Change: until the first table has been seen, the server is closed as if it drained; a draining heartbeat is applied and acknowledged at once. The agent looks at its table before each heartbeat, so that none is refused longer than needed, and a shutdown of a server that may run here but is not known yet is not acknowledged.

HeartbeatBeforeTableDoesNotOpenServer covers it in LocalServer (the call that it needs is new).

--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -90,6 +90,8 @@
     void start() override
     {
         m_relay.start();
+        if (!tableKnown())
+            m_server.awaitTable();
         asio::co_spawn(m_loop, runPeriodicTasks(), asio::detached);
         asio::co_spawn(m_loop, watchServerPort(), asio::detached);
         m_registrar = std::make_unique<ServerRegistrar>(
@@ -121,6 +123,7 @@
     void onServerShutdown(const std::string& name) override
     {
         applyOnLoop([this, name] {
+            refreshTable();
             if (!m_server.markShutDown(name)) {
                 if (m_server.closed())
                     throw Error(ErrorKind::Unavailable, "it is not known yet whether server '" + name + "' runs here", "send the report again");
@@ -195,6 +198,7 @@
             log(LogLevel::Warn, "heartbeat_refused", { { .key = logkey::server, .value = heartbeat.name }, { .key = logkey::reason, .value = "the heartbeat is for service " + heartbeat.service + ", but this VM is configured for " + m_service } });
             return;
         }
+        refreshTable();
         const auto result = applyHeartbeat(heartbeat);
         countHeartbeat(heartbeatOutcomes.at(static_cast<std::size_t>(result)));
         if (!isApplied(result))
@@ -284,6 +288,16 @@
             m_router.setServer(self->id, self->serviceId);
     }
 
+    bool tableKnown() const { return m_fleet.tables().table()->version() || m_fleet.tables().confirmedAt() != MonotonicTime(); }
+
+    void refreshTable()
+    {
+        const bool known = tableKnown();
+        onTableChanged(*m_fleet.tables().table());
+        if (known)
+            m_server.setTableKnown();
+    }
+
     // Notices that the process which closed the server has ended, so that the next one need not wait for its heartbeats to prove
     // that it runs.
     asio::awaitable<void> watchServerPort()
@@ -318,7 +332,7 @@
         while (true) {
             m_server.recordAgentActivity();
             logSilenceChange();
-            onTableChanged(*m_fleet.tables().table());
+            refreshTable();
             m_flows.expire();
             m_relay.releaseWaiting();
             timer.expires_after(m_registration.serverId && !m_fleet.tables().table()->server(m_registration.serverId) ? registrationPollInterval : maintenanceInterval);
--- a/src/passthrough/localserver.h
+++ b/src/passthrough/localserver.h
@@ -43,14 +43,19 @@
 
     HeartbeatResult applyHeartbeat(const ServerHeartbeat& heartbeat);
 
+    // Called when the agent starts: an earlier agent may have acknowledged a drain that only the table records. Until
+    // setTableKnown() is called, the server is closed.
+    void awaitTable() { m_awaitsTable = true; }
+    void setTableKnown() { m_awaitsTable = false; }
+
     // Called when the table has a server on this VM that has sent nothing since this agent started.
     void expectHeartbeat(const std::string& name, bool draining);
 
     // Called when the server reports its shutdown. Returns false if no instance with this name is known.
     bool markShutDown(const std::string& name);
 
-    // Whether no new flow may reach the server: it drains or has shut down.
-    bool closed() const { return closedByReport(); }
+    // Whether no new flow may reach the server: it drains or has shut down, or that is not known yet.
+    bool closed() const { return closedByReport() || (m_awaitsTable && !m_heartbeat); }
 
     // Called with whether the server's port accepts connections. After the server has reported that it drains or shuts down, a
     // port that refuses connections and later accepts them again belongs to another process.
@@ -151,6 +156,7 @@
     MonotonicTime m_lastClosed;
     MonotonicTime m_lastAgentActivity;
     bool m_shutDown = false;
+    bool m_awaitsTable = false;
     // Since the server was closed, its port has refused connections, and has accepted them again.
     bool m_processEnded = false;
     bool m_processReplaced = false;
--- a/src/passthrough/tests/localserver.cpp
+++ b/src/passthrough/tests/localserver.cpp
@@ -346,6 +346,29 @@
     CHECK_FALSE(server.closed());
 }
 
+// Guards against an agent that starts, and does not know yet that an earlier one has acknowledged a drain.
+TEST(LocalServer, HeartbeatBeforeTableDoesNotOpenServer)
+{
+    server.awaitTable();
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 1100, 1)) == HeartbeatResult::Unverified);
+    server.setTableKnown();
+    server.expectHeartbeat("i-1", true);
+    clock.advance(heartbeatInterval);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 1100, 2)) == HeartbeatResult::Unverified);
+    CHECK(server.draining());
+}
+
+TEST(LocalServer, FirstHeartbeatIsAcceptedOnceTableIsKnownOrServerDrains)
+{
+    server.awaitTable();
+    server.applyHeartbeat(makeHeartbeat("i-1", 1000, 1));
+    server.setTableKnown();
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 1000, 2)) == HeartbeatResult::NewInstance);
+    LocalServer draining { clock, heartbeatInterval };
+    draining.awaitTable();
+    CHECK(draining.applyHeartbeat(makeHeartbeat("i-1", 1000, 1, true)) == HeartbeatResult::NewInstance);
+}
+
 // Guards against an instance that counts as running because of two delayed heartbeats, while another one was heard in between.
 TEST(LocalServer, HeartbeatsOfTwoInstancesInTurnVerifyNone)
 {
