Register a server under another boot id when its drain ends

Callers saw: a server that drained, crashed and started again with the same name and start time (a clock that jumped back) is never used again.

Cause: the boot id comes from name and start time, and the controllers end a drain only with a new one, so the table went on listing the server as draining.

Change: an instance that opens a closed server is announced under the next boot id, if it may be the one whose drain was reported.

InstanceThatEndsDrainGetsAnotherBootId covers it in the registrar (the state that it passes is new).

--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -211,6 +211,7 @@
     {
         const auto before = m_server.lastHeartbeat();
         const bool wasVerified = m_server.verified();
+        const bool wasDraining = m_server.draining();
         const auto result = m_server.applyHeartbeat(heartbeat);
         if (!isApplied(result))
             return result;
@@ -219,7 +220,7 @@
         m_coldStartLimit.setColdFor(heartbeat.coldRemaining);
         m_relay.releaseWaiting();
         if (result != HeartbeatResult::Unchanged || m_server.verified() != wasVerified)
-            m_registrar->setServer(heartbeat, { .restarted = result == HeartbeatResult::NewInstance, .verified = m_server.verified() });
+            m_registrar->setServer(heartbeat, { .restarted = result == HeartbeatResult::NewInstance, .verified = m_server.verified(), .endsDrain = wasDraining && !heartbeat.draining });
         if (result == HeartbeatResult::Unchanged)
             return result;
         m_portTimer.cancel();
--- a/src/passthrough/internal/serverregistrar.cpp
+++ b/src/passthrough/internal/serverregistrar.cpp
@@ -49,6 +49,7 @@
         const std::lock_guard lock(m_mutex);
         m_desired = { .heartbeat = heartbeat, .verified = state.verified, .gone = false };
         m_restarted = m_restarted || state.restarted;
+        m_drainEnded = (m_drainEnded && !heartbeat.draining) || state.endsDrain;
         m_changed = true;
     }
     m_wake.notify_all();
@@ -114,10 +115,11 @@
         m_renewalRequested = false;
         const auto desired = m_desired;
         const bool restarted = std::exchange(m_restarted, false);
+        const bool drainEnded = std::exchange(m_drainEnded, false);
         lock.unlock();
         if (restarted) {
             m_bootId = 0;
-            m_usedBootIds = 0;
+            m_usedBootIds = drainEnded && mayHaveAnnounced(*desired.heartbeat) ? m_usedBootIds + 1 : 0;
         }
         try {
             reconcile(desired);
@@ -169,9 +171,17 @@
     }
 }
 
+// Whether the controllers may have a drain under the first boot id of the instance, which only another boot id ends. An agent that
+// was restarted cannot tell what the earlier one announced.
+bool ServerRegistrar::mayHaveAnnounced(const ServerHeartbeat& heartbeat) const
+{
+    return !m_announced || m_announced->isSameInstance(heartbeat);
+}
+
 void ServerRegistrar::registerServer(const DesiredState& desired)
 {
     const auto& heartbeat = *desired.heartbeat;
+    m_announced = heartbeat;
     m_registration = announce(desired);
     m_bootId = bootId(heartbeat);
     m_drainingReported = false;
--- a/src/passthrough/internal/serverregistrar.h
+++ b/src/passthrough/internal/serverregistrar.h
@@ -50,6 +50,7 @@
     fleet::Registration announce(const DesiredState& desired);
     schema::ServerAnnouncement announcement(const ServerHeartbeat& heartbeat) const;
     std::uint64_t bootId(const ServerHeartbeat& heartbeat) const;
+    bool mayHaveAnnounced(const ServerHeartbeat& heartbeat) const;
 
     fleet::IFleetClient& m_client;
     std::string m_endpoint;
@@ -61,6 +62,7 @@
     DesiredState m_desired;
     bool m_changed = false;
     bool m_restarted = false;
+    bool m_drainEnded = false;
     bool m_renewalRequested = false;
     bool m_stopping = false;
     bool m_threadDone = false;
@@ -71,6 +73,8 @@
     // Number of earlier boot ids of the same instance, which the controllers do not accept any more.
     std::uint64_t m_usedBootIds = 0;
     bool m_drainingReported = false;
+    // Last heartbeat of the instance that was announced last.
+    std::optional<ServerHeartbeat> m_announced;
     std::thread m_thread;
 };
 
--- a/src/passthrough/tests/serverregistrar.cpp
+++ b/src/passthrough/tests/serverregistrar.cpp
@@ -53,3 +53,17 @@
     const std::lock_guard lock(fleet.mutex);
     CHECK(fleet.announcedBootIds[2] == fleet.announcedBootIds[0]);
 }
+
+// Guards against a server that stays drained at the controllers: an instance with the name and the start time of the one that
+// drained has its boot id, and only a new one ends a drain.
+TEST(ServerRegistrar, InstanceThatEndsDrainGetsAnotherBootId)
+{
+    auto draining = heartbeat(100);
+    draining.draining = true;
+    registrar.setServer(draining, { .restarted = true });
+    CHECK(fleet.waitForAnnouncements(1));
+    registrar.setServer(heartbeat(100), { .restarted = true, .verified = true, .endsDrain = true });
+    CHECK(fleet.waitForAnnouncements(2));
+    const std::lock_guard lock(fleet.mutex);
+    CHECK(fleet.announcedBootIds[1] != fleet.announcedBootIds[0]);
+}
--- a/src/passthrough/types/serverinstancestate.h
+++ b/src/passthrough/types/serverinstancestate.h
@@ -8,6 +8,8 @@
     bool restarted = false;
     // It has sent several heartbeats, so that it is known to run.
     bool verified = false;
+    // It takes new flows, and the drain that the controllers may have recorded for its boot id is over.
+    bool endsDrain = false;
 };
 
 } // namespace clementinesill::passthrough
