Relax no limit because of an unverified heartbeat

Callers saw: a cold server gets more flows than its rate allows, if the delayed heartbeat of an earlier, warm instance arrives (FAILBACK).

Cause: each accepted heartbeat set the remaining cold time and the slots, also one that was only presumed to come from a restarted server. A shorter assumed cold time also replaced a longer one.

Change: until an instance is verified, its heartbeats may extend the cold time and lower the slots, and do not do the opposite.

--- a/src/passthrough/coldstartlimit.h
+++ b/src/passthrough/coldstartlimit.h
@@ -3,6 +3,7 @@
 #include "foundation/iclock.h"
 #include "passthrough/types/coldstartlimitoptions.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 
@@ -21,9 +22,12 @@
     // Sets how long the server is cold from now on, as reported by its heartbeat; zero if it is warm.
     void setColdFor(Duration remaining) { m_coldUntil = m_clock.now() + remaining; }
 
-    // Treats the server as cold for this long, because it may have become cold without having reported it yet. A heartbeat does
-    // not shorten this time.
-    void assumeCold(Duration duration) { m_assumedColdUntil = m_clock.now() + duration; }
+    // As above, but a server that is cold for longer remains so: the heartbeat may be one of another instance.
+    void extendCold(Duration remaining) { m_coldUntil = std::max(m_coldUntil, m_clock.now() + remaining); }
+
+    // Treats the server as cold for at least this long, because it may have become cold without having reported it yet. A
+    // heartbeat does not shorten this time.
+    void assumeCold(Duration duration) { m_assumedColdUntil = std::max(m_assumedColdUntil, m_clock.now() + duration); }
 
     bool isCold() const { return m_clock.now() < m_coldUntil || m_clock.now() < m_assumedColdUntil; }
 
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -217,7 +217,7 @@
             return result;
         if (result == HeartbeatResult::NewInstance)
             onNewInstance(heartbeat, !before);
-        m_coldStartLimit.setColdFor(heartbeat.coldRemaining);
+        applyLimits(heartbeat, !before);
         m_relay.releaseWaiting();
         if (result != HeartbeatResult::Unchanged || m_server.verified() != wasVerified)
             m_registrar->setServer(heartbeat, { .restarted = result == HeartbeatResult::NewInstance, .verified = m_server.verified(), .endsDrain = wasDraining && !heartbeat.draining });
@@ -244,9 +244,19 @@
             throw Error(ErrorKind::Unavailable, "it is not certain yet whether this instance of server '" + heartbeat.name + "' runs", "send the next heartbeat");
     }
 
+    // The heartbeat of an instance that is not known to run may tighten a limit, but not relax it.
+    void applyLimits(const ServerHeartbeat& heartbeat, bool isFirstHeartbeat)
+    {
+        const bool mayRelax = m_server.verified() || isFirstHeartbeat;
+        m_load.setSlots(mayRelax ? heartbeat.slots : std::min(heartbeat.slots, m_load.slots()));
+        if (mayRelax)
+            m_coldStartLimit.setColdFor(heartbeat.coldRemaining);
+        else
+            m_coldStartLimit.extendCold(heartbeat.coldRemaining);
+    }
+
     void onNewInstance(const ServerHeartbeat& heartbeat, bool isFirstHeartbeat)
     {
-        m_load.setSlots(heartbeat.slots);
         const auto* adopted = m_fleet.tables().table()->server(m_router.serverId());
         // This is the server that was adopted from the table: keep its registration and flows.
         if (isFirstHeartbeat && adopted && adopted->name == heartbeat.name)
--- a/src/passthrough/tests/passthroughagent.cpp
+++ b/src/passthrough/tests/passthroughagent.cpp
@@ -307,3 +307,29 @@
     CHECK_THROWS(Error, heartbeats->onHeartbeat(delayed));
     checkRejectsFlows();
 }
+
+// Guards against the end of a cold start by the delayed heartbeat of an instance that was warm.
+TEST(PassThroughAgent, KeepsColdStartAfterDelayedHeartbeatOfEarlierInstance)
+{
+    // The settings allow no flow to a cold server of a service with a rate.
+    TestTable tables;
+    tables.server(1).set_agent_endpoint(clementinesill::format(agentEndpoint));
+    for (const std::uint32_t id : { 2, 3, 4 })
+        tables.server(id).set_agent_endpoint(clementinesill::format(otherAgentEndpoint));
+    tables.table().mutable_services(0)->set_cold_flows_per_second(1);
+    agent.reset();
+    fleet.current = tables.build();
+    settings.mutable_agent()->mutable_pass_through()->set_heartbeat_ms(static_cast<std::uint32_t>(shortInterval.count()));
+    agent = makeAgent(settings);
+    agent->start();
+    // The agent assumes for two intervals that the server is cold.
+    std::this_thread::sleep_for(3 * shortInterval);
+    heartbeats->onHeartbeat(heartbeat(1, false));
+    auto cold = heartbeat(2, false);
+    cold.coldRemaining = std::chrono::minutes(1);
+    heartbeats->onHeartbeat(cold);
+    auto delayed = heartbeat(1, false);
+    delayed.startedAtMs += 2400;
+    heartbeats->onHeartbeat(delayed);
+    checkRejectsFlows();
+}
