Look at the server's silence once per heartbeat interval

Seen by an own test: with heartbeats every 200 ms, neither the silence of the server nor the series of another instance's heartbeats ever grew.

Cause: a pause of more than two heartbeat intervals between two calls of recordAgentActivity() counts as a suspended agent. Without packets, the calls came every 600 ms, so that with an interval below 300 ms each of them looked like a pause.

Change: the periodic tasks run at least once per heartbeat interval, as LocalServer requires. With the platform's 770 ms nothing changes.

--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -346,7 +346,7 @@
             refreshTable();
             m_flows.expire();
             m_relay.releaseWaiting();
-            timer.expires_after(m_registration.serverId && !m_fleet.tables().table()->server(m_registration.serverId) ? registrationPollInterval : maintenanceInterval);
+            timer.expires_after(m_registration.serverId && !m_fleet.tables().table()->server(m_registration.serverId) ? registrationPollInterval : std::min<Duration>(maintenanceInterval, m_heartbeatInterval));
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
     }
