End a drain only if the server answers that it does not drain

Callers would see: new flows at a draining server, if its own heartbeats are missing for some seconds and those of an instance that has ended arrive one by one meanwhile. Heartbeats alone cannot tell the two apart, whatever their timing.

Change: before a series of heartbeats opens a closed server, its agent requests the service's health check, which only the process that runs can answer, and which is positive only while it does not drain. The path comes with the configuration. A service without one serves if its port accepts connections. Six intervals without a closing heartbeat instead of five, so that also a server whose health check is always positive keeps its drain while its heartbeats are up to 4.6 s late at the platform's 770 ms.

Not taken: another address for heartbeats in the response, since it must be a positive one, which acknowledges; the server's packets, since they do not name the instance, and none may come; a request in place of each check of the port, since it occupies a slot.

SeriesOfHeartbeatsEndsDrainOnlyIfServerIsHealthy and HeartbeatsDoNotEnd- DrainOfServerThatAnswersThatItDrains: new calls, so not run on the code before.

--- a/scripts/request_story.py
+++ b/scripts/request_story.py
@@ -17,7 +17,7 @@
 # Events that concern a daemon and not a request.
 CONDITIONS = {
     "admission_closed", "admission_opened", "server_silent", "server_heard", "server_started", "server_left",
-    "server_drain_changed", "server_process_ended", "server_ended_before_agent", "zone_out", "zone_returned", "quorum_lost", "quorum_gained",
+    "server_drain_changed", "server_process_ended", "server_health_checked", "server_ended_before_agent", "zone_out", "zone_returned", "quorum_lost", "quorum_gained",
     "leader_lost", "leader_heard", "leader_elected", "leader_stepped_down", "controllers_unreachable",
     "controllers_reachable", "controller_unreachable", "controller_reached", "disk_slow", "disk_recovered",
     "storage_failed", "storage_recovered", "daemon_started", "daemon_stopping", "daemon_stopped", "daemon_failed", "daemon_aborted",
--- a/src/agent/internal/serverhealthchecker.h
+++ b/src/agent/internal/serverhealthchecker.h
@@ -29,7 +29,6 @@
     bool healthy() const { return m_health.healthy(); }
 
 private:
-    boost::asio::awaitable<ServerProbeResult> probe();
     std::chrono::milliseconds nextInterval();
 
     boost::asio::io_context& m_loop;
--- a/src/fleet/internal/fleettable.cpp
+++ b/src/fleet/internal/fleettable.cpp
@@ -56,6 +56,7 @@
         .requestTimeout = std::chrono::milliseconds(record.request_timeout_ms()),
         .coldFlowsPerSecond = record.cold_flows_per_second(),
         .retired = record.retired(),
+        .healthPath = record.health_path(),
         .servers = {},
     };
 }
--- a/src/fleet/types/serviceentry.h
+++ b/src/fleet/types/serviceentry.h
@@ -29,6 +29,8 @@
     double coldFlowsPerSecond = 0;
     // The configuration no longer names the service; its servers finish their open flows.
     bool retired = false;
+    // HTTP path at which a server answers with 2xx while it is healthy and does not drain; empty if there is none.
+    std::string healthPath;
     std::vector<ServerEntry> servers;
 };
 
--- a/src/passthrough/internal/localserver.cpp
+++ b/src/passthrough/internal/localserver.cpp
@@ -19,6 +19,7 @@
 
 HeartbeatResult LocalServer::applyHeartbeat(const ServerHeartbeat& heartbeat)
 {
+    m_healthy = m_healthy && !heartbeat.draining;
     if (heartbeat.draining && closed())
         m_lastClosed = m_clock.now();
     if (isCurrent(heartbeat) && !m_shutDown && heartbeat.sequence >= m_heartbeat->sequence && !opensServer(heartbeat))
@@ -73,11 +74,14 @@
     return closed() && !heartbeat.draining && !reportedByOther;
 }
 
-// Whether the candidate runs and the process that closed the server does not.
-bool LocalServer::mayOpen() const
+bool LocalServer::candidateOpensServer() const
+{
+    return m_candidate.last() && opensServer(*m_candidate.last());
+}
+
+// Whether the heartbeats show that the candidate runs and the instance that closed the server does not.
+bool LocalServer::candidateKeepsSending() const
 {
-    if (m_processReplaced)
-        return true;
     return m_candidate.length() >= openingHeartbeats && m_clock.now() - m_lastClosed >= openingIntervals * m_heartbeatInterval;
 }
 
@@ -144,6 +148,7 @@
     m_lastClosed = m_clock.now();
     m_processEnded = false;
     m_processReplaced = false;
+    m_healthy = false;
 }
 
 void LocalServer::recordPortState(bool acceptsConnections)
@@ -154,12 +159,6 @@
     m_processEnded = m_processEnded || !acceptsConnections;
 }
 
-std::optional<ServerHeartbeat> LocalServer::confirmedHeartbeat() const
-{
-    const auto& candidate = m_candidate.last();
-    return m_processReplaced && candidate && opensServer(*candidate) ? candidate : std::nullopt;
-}
-
 bool LocalServer::presumedEnded(const std::function<bool()>& refusesConnections) const
 {
     const auto elapsed = m_clock.now() - m_lastHeartbeat;
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -1,4 +1,5 @@
 #include "agent/internal/misslog.h"
+#include "agent/serverprobe.h"
 #include "fleet/fleettable.h"
 #include "fleet/ifleetclient.h"
 #include "fleet/itablesource.h"
@@ -61,6 +62,8 @@
 constexpr int coldReportIntervals = 2;
 // How often the port of a draining server is checked; a server takes longer to start again.
 constexpr std::chrono::milliseconds portCheckInterval { 200 };
+// How long a server may take to answer whether it is healthy.
+constexpr std::chrono::milliseconds healthTimeout { 500 };
 // In metrics and logs, indexed by HeartbeatResult.
 constexpr std::array<const char*, 5> heartbeatOutcomes { "accepted", "accepted", "accepted", "outdated", "unverified" };
 
@@ -237,7 +240,7 @@
         // The rate of a cold server must hold although it is not known yet that this one has started.
         if (heartbeat.coldRemaining.count())
             m_coldStartLimit.assumeCold(std::min<Duration>(heartbeat.coldRemaining, coldReportIntervals * m_heartbeatInterval));
-        if (m_server.awaitsNextProcess())
+        if (m_server.awaitsNextProcess() || m_server.awaitsHealth())
             m_portTimer.cancel();
         const bool isInForce = m_server.isCurrent(heartbeat) && heartbeat.draining && m_server.closed();
         if (!isInForce)
@@ -309,13 +312,16 @@
             m_server.setTableKnown();
     }
 
-    // Notices that the process which closed the server has ended, so that the next one need not wait for its heartbeats to prove
-    // that it runs.
+    // While the server is closed, checks the conditions under which another instance may open it.
     asio::awaitable<void> watchServerPort()
     {
         while (true) {
             if (m_server.awaitsProcessEnd() || m_server.awaitsNextProcess())
                 co_await checkServerPort();
+            if (m_server.awaitsHealth())
+                co_await checkServerHealth();
+            if (const auto heartbeat = m_server.confirmedHeartbeat())
+                applyHeartbeat(*heartbeat);
             if (m_server.awaitsProcessEnd())
                 m_portTimer.expires_after(portCheckInterval);
             else
@@ -333,8 +339,21 @@
         m_server.recordPortState(*accepts);
         if (wasRunning && !m_server.awaitsProcessEnd())
             log(LogLevel::Info, "server_process_ended", { { .key = "endpoint", .value = format(m_serverEndpoint) } });
-        if (const auto heartbeat = m_server.confirmedHeartbeat())
-            applyHeartbeat(*heartbeat);
+    }
+
+    // Asks the server itself before another instance ends its drain: only the process that runs answers. A service without a health
+    // check serves if it accepts connections.
+    asio::awaitable<void> checkServerHealth()
+    {
+        const auto* service = m_fleet.tables().table()->service(m_service);
+        const std::string path = service ? service->healthPath : "";
+        bool healthy = false;
+        if (path.empty())
+            healthy = (co_await net::acceptsConnections(m_serverEndpoint)).value_or(false);
+        else
+            healthy = co_await agent::probeServer(m_serverEndpoint, path, healthTimeout) == agent::ServerProbeResult::Healthy;
+        m_server.recordHealth(healthy);
+        log(LogLevel::Info, "server_health_checked", { { .key = "endpoint", .value = format(m_serverEndpoint) }, { .key = "healthy", .value = healthy ? "true" : "false" } });
     }
 
     asio::awaitable<void> runPeriodicTasks()
--- a/src/passthrough/localserver.h
+++ b/src/passthrough/localserver.h
@@ -28,9 +28,9 @@
 // instance other than the current one is accepted at its first heartbeat only if that is clearly a new start, and otherwise once
 // it keeps sending heartbeats while the current one sends none: a delayed heartbeat has no successor.
 //
-// While the server is closed, no instance is accepted that would open it, until a series of its heartbeats shows that it runs, or
-// the server's port shows that the process which closed it has ended. This holds for all start times, sequences and names,
-// because a delayed heartbeat may have any.
+// While the server is closed, no instance is accepted that would open it, until its port shows that the process which closed it has
+// ended, or a series of its heartbeats shows that it runs and the process that serves says that it does not drain. This holds for
+// all start times, sequences and names, because a delayed heartbeat may have any.
 class LocalServer {
 public:
     // heartbeatInterval is the time between two heartbeats.
@@ -64,12 +64,17 @@
     // Whether the port should be checked periodically, so that the end of the process is not missed.
     bool awaitsProcessEnd() const { return closedByReport() && !m_processEnded; }
 
-    // Whether the port should be checked now: another process may have sent the candidate's heartbeats.
-    bool awaitsNextProcess() const { return closedByReport() && m_processEnded && m_candidate.last(); }
+    // Whether recordPortState() should be called now, since the process may have ended and another one have sent the last
+    // heartbeat; or recordHealth(), since another instance keeps sending heartbeats.
+    bool awaitsNextProcess() const { return closedByReport() && m_processEnded && candidateOpensServer(); }
+    bool awaitsHealth() const { return candidateOpensServer() && candidateKeepsSending(); }
 
-    // The last heartbeat that was not applied, if the port has shown since that another process runs; applyHeartbeat() accepts it
+    // Called with whether the server answers that it is healthy and does not drain.
+    void recordHealth(bool healthy) { m_healthy = healthy && awaitsHealth(); }
+
+    // The last heartbeat that was not applied, if a check has shown since that its sender may serve; applyHeartbeat() accepts it
     // then. Empty otherwise.
-    std::optional<ServerHeartbeat> confirmedHeartbeat() const;
+    std::optional<ServerHeartbeat> confirmedHeartbeat() const { return candidateOpensServer() && mayOpen() ? m_candidate.last() : std::nullopt; }
 
     // Called when a packet from the server arrives.
     void recordServerActivity() { m_lastActivity = m_clock.now(); }
@@ -113,10 +118,10 @@
     static constexpr double verificationIntervals = 0.5;
     static constexpr double missedHeartbeatIntervals = 1.25;
 
-    // What opens a closed server without evidence from its port: this many heartbeats of one instance in a row, and this many
-    // heartbeat intervals in which none closed it.
+    // What opens a healthy server without evidence that the process has ended: this many heartbeats of one instance in a row, and
+    // this many heartbeat intervals in which none closed it.
     static constexpr int openingHeartbeats = 5;
-    static constexpr double openingIntervals = 5;
+    static constexpr double openingIntervals = 6;
 
     // Instances kept that were replaced by others.
     static constexpr std::size_t replacedInstanceLimit = 16;
@@ -130,7 +135,9 @@
     void recordClosing();
     bool mayRunAs(const std::string& name) const;
     bool opensServer(const ServerHeartbeat& heartbeat) const;
-    bool mayOpen() const;
+    bool mayOpen() const { return m_processReplaced || m_healthy; }
+    bool candidateOpensServer() const;
+    bool candidateKeepsSending() const;
     HeartbeatResult updateCurrent(const ServerHeartbeat& heartbeat);
     HeartbeatResult applyOther(const ServerHeartbeat& heartbeat);
     HeartbeatResult notApplied(const ServerHeartbeat& heartbeat) const;
@@ -160,6 +167,8 @@
     // Since the server was closed, its port has refused connections, and has accepted them again.
     bool m_processEnded = false;
     bool m_processReplaced = false;
+    // The server answered that it does not drain, after the candidate's last heartbeat.
+    bool m_healthy = false;
     // The server that the table has on this VM, until the first heartbeat.
     std::optional<ExpectedServer> m_expected;
 };
--- a/src/passthrough/tests/localserver.cpp
+++ b/src/passthrough/tests/localserver.cpp
@@ -269,6 +269,8 @@
             const auto name = *rc::gen::element<std::string>("i-1", "i-1", "i-2");
             const auto startedAt = *rc::gen::element<std::uint64_t>(900, 1000, 1100);
             drained.applyHeartbeat(makeHeartbeat(name, startedAt, *rc::gen::inRange<std::uint64_t>(0, 200), *rc::gen::inRange(0, 10) == 0));
+            drained.recordHealth(true);
+            RC_ASSERT_FALSE(drained.confirmedHeartbeat().has_value());
             RC_ASSERT(drained.draining());
         }
     }));
@@ -281,17 +283,37 @@
     for (const std::uint64_t startedAt : { 900, 1000, 1100 }) {
         LocalServer restarted { clock, heartbeatInterval };
         restarted.applyHeartbeat(makeHeartbeat("i-1", 1000, 9, true));
-        int heartbeats = 0;
-        do {
+        for (int heartbeats = 1; heartbeats <= 6; ++heartbeats) {
+            CHECK_FALSE(restarted.awaitsHealth());
             clock.advance(heartbeatInterval);
-            ++heartbeats;
-        } while (restarted.applyHeartbeat(makeHeartbeat("i-1", startedAt, heartbeats)) != HeartbeatResult::NewInstance && heartbeats < 100);
-        LONGS_EQUAL(5, heartbeats);
+            CHECK(restarted.applyHeartbeat(makeHeartbeat("i-1", startedAt, heartbeats)) != HeartbeatResult::NewInstance);
+        }
+        CHECK(restarted.awaitsHealth());
+        restarted.recordHealth(true);
+        CHECK(restarted.applyHeartbeat(*restarted.confirmedHeartbeat()) == HeartbeatResult::NewInstance);
         CHECK_FALSE(restarted.closed());
         CHECK(restarted.verified());
     }
 }
 
+// Guards against a drain that ends while its server still answers that it drains: any number of delayed heartbeats may arrive, and
+// the server's own may be delayed for any time.
+TEST(LocalServer, HeartbeatsDoNotEndDrainOfServerThatAnswersThatItDrains)
+{
+    server.applyHeartbeat(makeHeartbeat("i-1", 1000, 9, true));
+    for (std::uint64_t sequence = 1; sequence <= 50; ++sequence) {
+        clock.advance(heartbeatInterval);
+        CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 1100, sequence)) == HeartbeatResult::Unverified);
+        server.recordHealth(false);
+        CHECK_FALSE(server.confirmedHeartbeat().has_value());
+    }
+    // An answer counts only if nothing has closed the server since.
+    server.recordHealth(true);
+    CHECK(server.confirmedHeartbeat().has_value());
+    server.applyHeartbeat(makeHeartbeat("i-1", 1000, 10, true));
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 1100, 51)) == HeartbeatResult::Unverified);
+}
+
 TEST(LocalServer, InstanceAfterDrainedOneIsAcceptedAtOnceIfItsPortWasClosedBefore)
 {
     for (const std::uint64_t startedAt : { 900, 1000, 1100 }) {
--- a/src/passthrough/tests/passthroughagent.cpp
+++ b/src/passthrough/tests/passthroughagent.cpp
@@ -9,6 +9,7 @@
 #include "passthrough/ipacketformat.h"
 #include "passthrough/passthroughmodules.h"
 #include "passthrough/tests/fakefleet.h"
+#include "passthrough/tests/fakehealthserver.h"
 #include "passthrough/tests/testtable.h"
 #include "passthrough/types/serverheartbeat.h"
 #include "settings.pb.h"
@@ -36,6 +37,8 @@
 constexpr std::chrono::milliseconds earlyAcknowledgement { 100 };
 // Heartbeat interval of the tests that wait for heartbeats.
 constexpr std::chrono::milliseconds shortInterval { 200 };
+// Heartbeats that are sent at most until an expected effect is seen.
+constexpr int maximumAttempts = 100;
 
 // A loopback address per process, so that test programs that run concurrently share no port.
 Endpoint loopback(std::uint16_t port)
@@ -275,7 +278,7 @@
     heartbeats->onHeartbeat(first);
     auto second = heartbeat(1, true);
     bool acknowledged = false;
-    for (; !acknowledged && second.sequence < 100; ++second.sequence) {
+    for (; !acknowledged && second.sequence < maximumAttempts; ++second.sequence) {
         std::this_thread::sleep_for(shortInterval);
         try {
             heartbeats->onHeartbeat(second);
@@ -333,3 +336,39 @@
     heartbeats->onHeartbeat(delayed);
     checkRejectsFlows();
 }
+
+// Guards against a drain that ends because of a long series of delayed heartbeats while the draining server's own ones are missing.
+TEST(PassThroughAgent, SeriesOfHeartbeatsEndsDrainOnlyIfServerIsHealthy)
+{
+    TestTable tables;
+    tables.server(1).set_agent_endpoint(clementinesill::format(agentEndpoint));
+    tables.table().mutable_services(0)->set_health_path("/health");
+    FakeHealthServer health(serverEndpoint);
+    agent.reset();
+    fleet.current = tables.build();
+    settings.mutable_agent()->mutable_pass_through()->set_heartbeat_ms(static_cast<std::uint32_t>(shortInterval.count()));
+    agent = makeAgent(settings);
+    agent->start();
+    heartbeats->onHeartbeat(heartbeat(2, true));
+    auto other = heartbeat(0, false);
+    other.startedAtMs += 2400;
+    const auto isAcknowledged = [&] {
+        std::this_thread::sleep_for(shortInterval);
+        ++other.sequence;
+        try {
+            heartbeats->onHeartbeat(other);
+        } catch (const Error& error) {
+            CHECK(error.kind() == ErrorKind::Unavailable);
+            return false;
+        }
+        return true;
+    };
+    for (int attempts = 0; attempts < maximumAttempts && health.answered() < 3; ++attempts)
+        CHECK_FALSE(isAcknowledged());
+    CHECK(health.answered() >= 3);
+    health.setHealthy(true);
+    bool acknowledged = false;
+    for (int attempts = 0; attempts < maximumAttempts && !acknowledged; ++attempts)
+        acknowledged = isAcknowledged();
+    CHECK(acknowledged);
+}
