Reopen a server after a stray shutdown only if it answers

Callers would see: flows to a server that reported its shutdown, if two of its heartbeats arrive after that report.

Cause: a shutdown names the server only, so an instance that goes on sending heartbeats was accepted again after two of them. Delayed ones of the instance that did report it look the same.

Change: these two heartbeats ask for the health check first, as every other end of a closed state does. Besides, a pause of the agent does not move the start of a series of heartbeats beyond now.

The test of the stray shutdown now also checks that the heartbeats alone do not open the server; it fails without the change.

--- a/src/passthrough/heartbeatseries.h
+++ b/src/passthrough/heartbeatseries.h
@@ -22,8 +22,8 @@
 
     void clear() { m_last.reset(); }
 
-    // Time for which the process was suspended; it does not count.
-    void skip(Duration pause);
+    // Leaves out the time until now for which the process was suspended.
+    void skip(Duration pause, MonotonicTime now);
 
     // Last heartbeat of the series; empty if there is none.
     const std::optional<ServerHeartbeat>& last() const { return m_last; }
--- a/src/passthrough/internal/heartbeatseries.cpp
+++ b/src/passthrough/internal/heartbeatseries.cpp
@@ -23,10 +23,10 @@
     m_countedAt = now;
 }
 
-void HeartbeatSeries::skip(Duration pause)
+void HeartbeatSeries::skip(Duration pause, MonotonicTime now)
 {
-    m_firstAt += pause;
-    m_countedAt += pause;
+    m_firstAt += std::min(pause, now - m_firstAt);
+    m_countedAt += std::min(pause, now - m_countedAt);
 }
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/localserver.cpp
+++ b/src/passthrough/internal/localserver.cpp
@@ -66,12 +66,10 @@
     return outdated || wasReplaced(heartbeat) ? HeartbeatResult::Stale : HeartbeatResult::Unverified;
 }
 
-// Whether the server would get new flows because of this heartbeat. An instance that goes on after its shutdown was reported did
-// not report it: the report names the server only, so an earlier instance may have sent it.
+// Whether the server would get new flows because of this heartbeat.
 bool LocalServer::opensServer(const ServerHeartbeat& heartbeat) const
 {
-    const bool reportedByOther = m_shutDown && !draining() && isCurrent(heartbeat);
-    return closed() && !heartbeat.draining && !reportedByOther;
+    return closed() && !heartbeat.draining;
 }
 
 bool LocalServer::candidateOpensServer() const
@@ -79,9 +77,12 @@
     return m_candidate.last() && opensServer(*m_candidate.last());
 }
 
-// Whether the heartbeats show that the candidate runs and the instance that closed the server does not.
+// Whether the heartbeats show that the candidate runs and the instance that closed the server does not. The report of a shutdown
+// names the server only: an instance that goes on after it did not send it if it had not reported a drain.
 bool LocalServer::candidateKeepsSending() const
 {
+    if (m_shutDown && !draining() && isCurrent(*m_candidate.last()))
+        return candidateRuns();
     return m_candidate.length() >= openingHeartbeats && m_clock.now() - m_lastClosed >= openingIntervals * m_heartbeatInterval;
 }
 
@@ -200,7 +201,7 @@
     m_lastActivity += std::min(pause, now - m_lastActivity);
     m_lastHeartbeat += std::min(pause, now - m_lastHeartbeat);
     m_lastClosed += std::min(pause, now - m_lastClosed);
-    m_candidate.skip(pause);
+    m_candidate.skip(pause, now);
 }
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/tests/localserver.cpp
+++ b/src/passthrough/tests/localserver.cpp
@@ -215,7 +215,12 @@
     clock.advance(heartbeatInterval);
     CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, 2)) == HeartbeatResult::Stale);
     clock.advance(heartbeatInterval);
-    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, 3)) == HeartbeatResult::NewInstance);
+    CHECK(server.applyHeartbeat(makeHeartbeat("i-1", 100, 3)) == HeartbeatResult::Stale);
+    // The process may have ended after these heartbeats were sent.
+    CHECK(server.hasShutDown());
+    CHECK(server.awaitsHealth());
+    server.recordHealth(true);
+    CHECK(server.applyHeartbeat(*server.confirmedHeartbeat()) == HeartbeatResult::NewInstance);
     CHECK_FALSE(server.hasShutDown());
 }
 
