Check a port in one place, and set up agent tests in one place

refusesConnections() connected to a port with code of its own beside acceptsConnections(); it now runs that one and waits for its result. The agent tests that need a short heartbeat interval share restartAgent() and isAcknowledged(). A draining heartbeat clears what the health check said where it also counts as closing the server.

--- a/src/framework/net/internal/connectionprobe.cpp
+++ b/src/framework/net/internal/connectionprobe.cpp
@@ -1,10 +1,12 @@
 #include "net/connectionprobe.h"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
 
@@ -22,11 +24,9 @@
 bool refusesConnections(const Endpoint& endpoint)
 {
     asio::io_context context;
-    asio::ip::tcp::socket socket(context);
-    bool refused = false;
-    socket.async_connect({ asio::ip::address_v4(endpoint.address), endpoint.port }, [&](const boost::system::error_code& error) { refused = error == asio::error::connection_refused; });
-    context.run_for(responseTimeout);
-    return refused;
+    auto accepts = asio::co_spawn(context, acceptsConnections(endpoint), asio::use_future);
+    context.run();
+    return accepts.get() == false;
 }
 
 asio::awaitable<std::optional<bool>> acceptsConnections(Endpoint endpoint)
--- a/src/passthrough/internal/localserver.cpp
+++ b/src/passthrough/internal/localserver.cpp
@@ -19,9 +19,10 @@
 
 HeartbeatResult LocalServer::applyHeartbeat(const ServerHeartbeat& heartbeat)
 {
-    m_healthy = m_healthy && !heartbeat.draining;
-    if (heartbeat.draining && closed())
+    if (heartbeat.draining && closed()) {
         m_lastClosed = m_clock.now();
+        m_healthy = false;
+    }
     if (isCurrent(heartbeat) && !m_shutDown && heartbeat.sequence >= m_heartbeat->sequence && !opensServer(heartbeat))
         return updateCurrent(heartbeat);
     return applyOther(heartbeat);
--- a/src/passthrough/tests/passthroughagent.cpp
+++ b/src/passthrough/tests/passthroughagent.cpp
@@ -149,6 +149,7 @@
     const Endpoint otherAgentEndpoint = loopback(8173);
     const Endpoint serverEndpoint = loopback(8174);
     HoldingFormat format;
+    TestTable tables;
     FakeFleet fleet;
     MetricsRegistry metrics;
     TestSocket server { serverEndpoint };
@@ -167,7 +168,6 @@
 
     void setup() override
     {
-        TestTable tables;
         for (const std::uint32_t id : { 1, 2, 3, 4 })
             tables.server(id).set_agent_endpoint(clementinesill::format(id == 1 ? agentEndpoint : otherAgentEndpoint));
         fleet.current = tables.build();
@@ -190,6 +190,29 @@
         agent->stop();
     }
 
+    // Starts another agent, with the current tables and a short heartbeat interval.
+    void restartAgent()
+    {
+        agent.reset();
+        fleet.current = tables.build();
+        settings.mutable_agent()->mutable_pass_through()->set_heartbeat_ms(static_cast<std::uint32_t>(shortInterval.count()));
+        agent = makeAgent(settings);
+        agent->start();
+    }
+
+    // Sends the heartbeat after a short interval.
+    bool isAcknowledged(const ServerHeartbeat& heartbeat)
+    {
+        std::this_thread::sleep_for(shortInterval);
+        try {
+            heartbeats->onHeartbeat(heartbeat);
+        } catch (const Error& error) {
+            CHECK(error.kind() == ErrorKind::Unavailable);
+            return false;
+        }
+        return true;
+    }
+
     ServerHeartbeat heartbeat(std::uint64_t sequence, bool draining) const
     {
         return { .name = "server-1", .service = "desk", .zone = "mandaue", .slots = 8, .draining = draining, .sequence = sequence, .startedAtMs = 5 };
@@ -269,24 +292,14 @@
 // since its clock jumped back (review/5).
 TEST(PassThroughAgent, OpensNoFlowAfterDrainOfServerWhoseClockJumpedBackIsAcknowledged)
 {
-    agent.reset();
-    settings.mutable_agent()->mutable_pass_through()->set_heartbeat_ms(static_cast<std::uint32_t>(shortInterval.count()));
-    agent = makeAgent(settings);
-    agent->start();
+    restartAgent();
     auto first = heartbeat(1, false);
     first.startedAtMs += 2400;
     heartbeats->onHeartbeat(first);
     auto second = heartbeat(1, true);
     bool acknowledged = false;
-    for (; !acknowledged && second.sequence < maximumAttempts; ++second.sequence) {
-        std::this_thread::sleep_for(shortInterval);
-        try {
-            heartbeats->onHeartbeat(second);
-            acknowledged = true;
-        } catch (const Error& error) {
-            CHECK(error.kind() == ErrorKind::Unavailable);
-        }
-    }
+    for (; !acknowledged && second.sequence < maximumAttempts; ++second.sequence)
+        acknowledged = isAcknowledged(second);
     CHECK(acknowledged);
     checkNoFlowOpensAfter([&] { heartbeats->onHeartbeat(second); });
 }
@@ -315,16 +328,8 @@
 TEST(PassThroughAgent, KeepsColdStartAfterDelayedHeartbeatOfEarlierInstance)
 {
     // The settings allow no flow to a cold server of a service with a rate.
-    TestTable tables;
-    tables.server(1).set_agent_endpoint(clementinesill::format(agentEndpoint));
-    for (const std::uint32_t id : { 2, 3, 4 })
-        tables.server(id).set_agent_endpoint(clementinesill::format(otherAgentEndpoint));
     tables.table().mutable_services(0)->set_cold_flows_per_second(1);
-    agent.reset();
-    fleet.current = tables.build();
-    settings.mutable_agent()->mutable_pass_through()->set_heartbeat_ms(static_cast<std::uint32_t>(shortInterval.count()));
-    agent = makeAgent(settings);
-    agent->start();
+    restartAgent();
     // The agent assumes for two intervals that the server is cold.
     std::this_thread::sleep_for(3 * shortInterval);
     heartbeats->onHeartbeat(heartbeat(1, false));
@@ -340,35 +345,22 @@
 // Guards against a drain that ends because of a long series of delayed heartbeats while the draining server's own ones are missing.
 TEST(PassThroughAgent, SeriesOfHeartbeatsEndsDrainOnlyIfServerIsHealthy)
 {
-    TestTable tables;
-    tables.server(1).set_agent_endpoint(clementinesill::format(agentEndpoint));
     tables.table().mutable_services(0)->set_health_path("/health");
     FakeHealthServer health(serverEndpoint);
-    agent.reset();
-    fleet.current = tables.build();
-    settings.mutable_agent()->mutable_pass_through()->set_heartbeat_ms(static_cast<std::uint32_t>(shortInterval.count()));
-    agent = makeAgent(settings);
-    agent->start();
+    restartAgent();
     heartbeats->onHeartbeat(heartbeat(2, true));
     auto other = heartbeat(0, false);
     other.startedAtMs += 2400;
-    const auto isAcknowledged = [&] {
-        std::this_thread::sleep_for(shortInterval);
+    const auto isNextAcknowledged = [&] {
         ++other.sequence;
-        try {
-            heartbeats->onHeartbeat(other);
-        } catch (const Error& error) {
-            CHECK(error.kind() == ErrorKind::Unavailable);
-            return false;
-        }
-        return true;
+        return isAcknowledged(other);
     };
     for (int attempts = 0; attempts < maximumAttempts && health.answered() < 3; ++attempts)
-        CHECK_FALSE(isAcknowledged());
+        CHECK_FALSE(isNextAcknowledged());
     CHECK(health.answered() >= 3);
     health.setHealthy(true);
     bool acknowledged = false;
     for (int attempts = 0; attempts < maximumAttempts && !acknowledged; ++attempts)
-        acknowledged = isAcknowledged();
+        acknowledged = isNextAcknowledged();
     CHECK(acknowledged);
 }
