--- a/review/standins-2/flows.py
+++ b/review/standins-2/flows.py
@@ -232,3 +232,10 @@
             self.seq = (self.seq + len(data)) & 0xffffffff
             return self.answers[-1]
         return None
+
+    def close(self):
+        """Ends the flow; what still arrives for it is dropped."""
+        if self.state == "open":
+            self.send(ACK | FIN, self.seq, self.ack)
+        self.requester.flows.pop(self.sport, None)
+        self.state = "closed"
