--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -380,6 +380,9 @@
 
 Registration GrpcFleetClient::registerServer(const schema::ServerAnnouncement& announcement)
 {
+    // No controller could parse it, so that no retry would succeed.
+    if (!schema::ServerAnnouncement().ParseFromString(announcement.SerializeAsString()))
+        throw Error(ErrorKind::InvalidArgument, "the announcement cannot be parsed", "use UTF-8 in all names");
     const auto deadline = m_clock.now() + registerTimeout;
     const auto interruptions = m_interruptions.load();
     schema::RegisterResponse response;
--- a/src/fleet/tests/grpcfleetclient.cpp
+++ b/src/fleet/tests/grpcfleetclient.cpp
@@ -121,6 +121,26 @@
     CHECK(elapsed < propagationBound);
 }
 
+// Guards against a call that no controller can parse and that is repeated until its timeout (review/7).
+TEST(GrpcFleetClient, RejectsAnnouncementThatCannotBeParsedAtOnce)
+{
+    schema::DaemonSettings settings;
+    settings.set_name("agent");
+    settings.mutable_agent();
+    settings.add_controllers("127.0.0.1:1");
+    fleet::GrpcFleetClient client(settings);
+    schema::ServerAnnouncement announcement;
+    announcement.set_name("i-\xff\xfe");
+    const auto startedAt = std::chrono::steady_clock::now();
+    try {
+        client.registerServer(announcement);
+        FAIL("the announcement was accepted");
+    } catch (const Error& error) {
+        CHECK(error.kind() == ErrorKind::InvalidArgument);
+    }
+    CHECK(std::chrono::steady_clock::now() - startedAt < interruptLimit);
+}
+
 TEST(GrpcFleetClient, InterruptCallsEndsPendingRegistration)
 {
     schema::DaemonSettings settings;
