Agents: abandon calls for an instance that is not the current one

After a heartbeat whose instance no controller accepts, the live server gets no new flow, and 15 s later its open flows are reset.

Cause, second of two: the registrar has one thread, and repeats a registration for 20 s. The live server was the current one again after 0.97 s, but was registered only after 20.06 s; its lease lasts 3 s, and it is removed after 15 s. Any announcement that no controller answers does the same, whatever its name is.

Change: a new instance, or the end of the server, interrupts the registrar's call. One attempt to register takes 2 s at most, since the interruption can precede the call, and the next one follows after 0.1 s. The log line of a failed registration names the server and the error of the call.

--- a/src/agent/internal/serverregistration.cpp
+++ b/src/agent/internal/serverregistration.cpp
@@ -9,6 +9,8 @@
 
 // The lease lasts 3 s, so that it survives three lost renewals.
 constexpr std::chrono::milliseconds leaseRenewalInterval { 700 };
+// Time limit of a registration.
+constexpr std::chrono::seconds registerTimeout { 20 };
 
 } // namespace
 
@@ -25,7 +27,7 @@
 
 fleet::Registration ServerRegistration::registerServer()
 {
-    m_registration = m_client.registerServer(m_announcement);
+    m_registration = m_client.registerServer(m_announcement, registerTimeout);
     return m_registration;
 }
 
@@ -95,7 +97,7 @@
 void ServerRegistration::registerAgain()
 {
     try {
-        const auto registration = m_client.registerServer(m_announcement);
+        const auto registration = m_client.registerServer(m_announcement, registerTimeout);
         m_replaced = registration.serverId != m_registration.serverId || registration.incarnation != m_registration.incarnation;
     } catch (const Error& error) {
         if (error.kind() != ErrorKind::InvalidArgument && error.kind() != ErrorKind::Conflict)
--- a/src/bench/bench_entry.cpp
+++ b/src/bench/bench_entry.cpp
@@ -64,7 +64,7 @@
     void start() override { }
     void stop() override { }
     fleet::ITableSource& tables() override { return m_tables; }
-    fleet::Registration registerServer(const schema::ServerAnnouncement&) override { return {}; }
+    fleet::Registration registerServer(const schema::ServerAnnouncement&, Duration) override { return {}; }
     bool renew(const schema::RenewRequest&) override { return true; }
     void leave(const fleet::Registration&, bool) override { }
     void interruptCalls() override { }
--- a/src/control/tests/controllermodule.cpp
+++ b/src/control/tests/controllermodule.cpp
@@ -189,7 +189,7 @@
     announcement.set_zone("mandaue");
     announcement.set_agent_endpoint("127.0.0.1:21101");
     announcement.set_boot_id(7);
-    const auto registration = client->registerServer(announcement);
+    const auto registration = client->registerServer(announcement, std::chrono::seconds(20));
     CHECK(waitUntil([&] { return client->tables().table()->server(registration.serverId) != nullptr; }));
 
     schema::RenewRequest renewal;
--- a/src/fleet/ifleetclient.h
+++ b/src/fleet/ifleetclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/types/registration.h"
+#include "foundation/iclock.h"
 
 #include <cstdint>
 #include <memory>
@@ -27,10 +28,10 @@
 
     virtual ITableSource& tables() = 0;
 
-    // Blocks until the controllers accept the announcement. Throws Error: Unavailable after 20 s or if interrupted,
+    // Blocks until the controllers accept the announcement. Throws Error: Unavailable after the timeout or if interrupted,
     // Conflict if a later start of the server has replaced the announced one, InvalidArgument if the announcement is rejected
     // otherwise.
-    virtual Registration registerServer(const schema::ServerAnnouncement& announcement) = 0;
+    virtual Registration registerServer(const schema::ServerAnnouncement& announcement, Duration timeout) = 0;
 
     // Renews the lease once; false if the controllers no longer have the registration and the server must register again.
     // Throws Error (Unavailable) after 3 s or if interrupted.
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -29,7 +29,6 @@
 constexpr auto connectTimeout = std::chrono::milliseconds(300);
 // Interval at which the connections are checked.
 constexpr auto connectPollInterval = std::chrono::milliseconds(20);
-constexpr auto registerTimeout = std::chrono::seconds(20);
 // Interval of registration retries while the controllers do not have the server's service yet.
 constexpr auto unknownServiceRetryInterval = std::chrono::milliseconds(500);
 constexpr auto renewTimeout = std::chrono::seconds(3);
@@ -369,7 +368,7 @@
             m_callSelector.onSuccess();
             return response;
         }
-        lastError = status.ok() ? outcome.message() : status.error_message();
+        lastError = status.ok() ? outcome.message() : "status " + std::to_string(status.error_code()) + " " + status.error_message();
         if (!status.ok())
             m_connections.erase(endpoint);
         const auto backoff = status.ok() ? m_callSelector.onLeaderHint(outcome.leader_hint()) : m_callSelector.onFailure();
@@ -378,12 +377,12 @@
     throw Error(ErrorKind::Unavailable, "no controller accepted the call in time (" + lastError + ")", "check that a majority of the controllers runs and is reachable");
 }
 
-Registration GrpcFleetClient::registerServer(const schema::ServerAnnouncement& announcement)
+Registration GrpcFleetClient::registerServer(const schema::ServerAnnouncement& announcement, Duration timeout)
 {
     // No controller could parse it, so that no retry would succeed.
     if (!schema::ServerAnnouncement().ParseFromString(announcement.SerializeAsString()))
         throw Error(ErrorKind::InvalidArgument, "the announcement cannot be parsed", "use UTF-8 in all names");
-    const auto deadline = m_clock.now() + registerTimeout;
+    const auto deadline = m_clock.now() + timeout;
     const auto interruptions = m_interruptions.load();
     schema::RegisterResponse response;
     // Only the leader registers servers, and the first table comes from the leader.
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -32,7 +32,7 @@
     void start() override;
     void stop() override;
     ITableSource& tables() override { return m_holder; }
-    Registration registerServer(const schema::ServerAnnouncement& announcement) override;
+    Registration registerServer(const schema::ServerAnnouncement& announcement, Duration timeout) override;
     bool renew(const schema::RenewRequest& request) override;
     void leave(const Registration& registration, bool draining) override;
     void interruptCalls() override;
--- a/src/fleet/tests/grpcfleetclient.cpp
+++ b/src/fleet/tests/grpcfleetclient.cpp
@@ -23,6 +23,7 @@
 constexpr std::chrono::seconds propagationBound { 3 };
 // A daemon must shut down within six seconds; ending the calls may take this part of them.
 constexpr std::chrono::seconds interruptLimit { 3 };
+constexpr std::chrono::seconds registerTimeout { 20 };
 // Number of streams that time out; on each, a late update may arrive while the client closes the stream.
 constexpr int timedOutStreams = 25;
 
@@ -133,7 +134,7 @@
     announcement.set_name("i-\xff\xfe");
     const auto startedAt = std::chrono::steady_clock::now();
     try {
-        client.registerServer(announcement);
+        client.registerServer(announcement, registerTimeout);
         FAIL("the announcement was accepted");
     } catch (const Error& error) {
         CHECK(error.kind() == ErrorKind::InvalidArgument);
@@ -152,7 +153,7 @@
     std::atomic<bool> unavailable { false };
     std::thread registration([&] {
         try {
-            client.registerServer({});
+            client.registerServer({}, registerTimeout);
         } catch (const Error& error) {
             unavailable = error.kind() == ErrorKind::Unavailable;
         }
--- a/src/passthrough/internal/serverregistrar.cpp
+++ b/src/passthrough/internal/serverregistrar.cpp
@@ -12,6 +12,10 @@
 
 // A lease lasts 3 s, so two renewals in a row may be lost.
 constexpr std::chrono::milliseconds renewInterval { 1000 };
+// Time limit of one attempt to register; the state may have changed since it began. Shorter than a lease.
+constexpr std::chrono::milliseconds registerTimeout { 2000 };
+// Delay after an attempt that failed.
+constexpr std::chrono::milliseconds registerRetryInterval { 100 };
 // How often stop() interrupts calls that the thread may have started since the last interruption.
 constexpr std::chrono::milliseconds interruptInterval { 50 };
 // Limits an agent that waits for the leader's confirmation to 20 renewals per second.
@@ -47,6 +51,8 @@
 {
     {
         const std::lock_guard lock(m_mutex);
+        if (state.restarted)
+            m_client.interruptCalls();
         m_desired = { .heartbeat = heartbeat, .verified = state.verified, .gone = false };
         m_restarted = m_restarted || state.restarted;
         m_drainEnded = (m_drainEnded && !heartbeat.draining) || state.endsDrain;
@@ -59,6 +65,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
+        m_client.interruptCalls();
         m_desired.gone = true;
         m_changed = true;
     }
@@ -105,7 +112,7 @@
 {
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
-        m_wake.wait_for(lock, renewInterval, [this] { return m_stopping || m_changed || m_renewalRequested; });
+        m_wake.wait_for(lock, m_registrationFailed ? registerRetryInterval : renewInterval, [this] { return m_stopping || m_changed || m_renewalRequested; });
         // Requested renewals come in bursts; a single renewal serves the whole burst.
         if (m_renewalRequested && !m_changed)
             m_wake.wait_for(lock, requestedRenewalDelay, [this] { return m_stopping || m_changed; });
@@ -122,9 +129,11 @@
             m_usedBootIds = drainEnded && mayHaveAnnounced(*desired.heartbeat) ? m_usedBootIds + 1 : 0;
         }
         try {
+            m_registrationFailed = false;
             reconcile(desired);
         } catch (const Error& error) {
-            log(LogLevel::Warn, "server_not_registered", { { .key = logkey::reason, .value = error.problem() }, { .key = logkey::remedy, .value = error.remedy() } });
+            m_registrationFailed = !m_bootId && error.kind() == ErrorKind::Unavailable;
+            log(LogLevel::Warn, "server_not_registered", { { .key = logkey::server, .value = desired.heartbeat ? desired.heartbeat->name : "" }, { .key = logkey::reason, .value = error.problem() }, { .key = logkey::remedy, .value = error.remedy() } });
         }
         lock.lock();
     }
@@ -161,7 +170,7 @@
 {
     while (true) {
         try {
-            return m_client.registerServer(announcement(*desired.heartbeat));
+            return m_client.registerServer(announcement(*desired.heartbeat), registerTimeout);
         } catch (const Error& error) {
             if (error.kind() != ErrorKind::Conflict || !desired.verified || m_usedBootIds >= maximumBootIds)
                 throw;
--- a/src/passthrough/internal/serverregistrar.h
+++ b/src/passthrough/internal/serverregistrar.h
@@ -27,7 +27,8 @@
     ServerRegistrar(fleet::IFleetClient& client, std::string endpoint, Registered registered, Renewed renewed);
     ~ServerRegistrar();
 
-    // Set the state that is reported to the controllers.
+    // Set the state that is reported to the controllers. A call for an instance that is not the current one any more is abandoned, so
+    // that it does not delay the registration of the current one.
     void setServer(const ServerHeartbeat& heartbeat, const ServerInstanceState& state);
     void setServerGone();
 
@@ -73,6 +74,8 @@
     // Number of earlier boot ids of the same instance, which the controllers do not accept any more.
     std::uint64_t m_usedBootIds = 0;
     bool m_drainingReported = false;
+    // The last attempt to register found no controller that accepted it in time.
+    bool m_registrationFailed = false;
     // Last heartbeat of the instance that was announced last.
     std::optional<ServerHeartbeat> m_announced;
     std::thread m_thread;
--- a/src/passthrough/tests/fakefleet.h
+++ b/src/passthrough/tests/fakefleet.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace clementinesill::passthrough {
@@ -22,9 +23,15 @@
     void stop() override { }
     fleet::ITableSource& tables() override { return *this; }
 
-    fleet::Registration registerServer(const schema::ServerAnnouncement& announcement) override
+    fleet::Registration registerServer(const schema::ServerAnnouncement& announcement, Duration timeout) override
     {
-        const std::lock_guard lock(mutex);
+        std::unique_lock lock(mutex);
+        announcedNames.push_back(announcement.name());
+        if (unavailableNames.contains(announcement.name())) {
+            changed.notify_all();
+            changed.wait_for(lock, timeout, [this, before = interruptions] { return interruptions != before; });
+            throw Error(ErrorKind::Unavailable, "no controller accepted the call in time", "try again");
+        }
         const bool replaced = replacedBootIds.contains(announcement.boot_id());
         announcedBootIds.push_back(announcement.boot_id());
         changed.notify_all();
@@ -42,7 +49,21 @@
 
     bool renew(const schema::RenewRequest&) override { return true; }
     void leave(const fleet::Registration&, bool) override { }
-    void interruptCalls() override { }
+
+    void interruptCalls() override
+    {
+        const std::lock_guard lock(mutex);
+        ++interruptions;
+        changed.notify_all();
+    }
+
+    // Waits until the server is announced as the last one.
+    bool waitForAnnouncement(const std::string& name, Duration timeout)
+    {
+        std::unique_lock lock(mutex);
+        return changed.wait_for(lock, timeout, [&] { return !announcedNames.empty() && announcedNames.back() == name; });
+    }
+
     std::shared_ptr<const fleet::FleetTable> table() const override { return current; }
     MonotonicTime confirmedAt() const override { return {}; }
     MonotonicTime leaderConfirmedAt() const override { return {}; }
@@ -55,6 +76,10 @@
     // Guarded by mutex. Announcements of these are rejected, as those of instances that another one has replaced.
     std::set<std::uint64_t> replacedBootIds;
     std::vector<std::uint64_t> announcedBootIds;
+    // Announcements of these servers are neither accepted nor rejected.
+    std::set<std::string> unavailableNames;
+    std::vector<std::string> announcedNames;
+    int interruptions = 0;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/tests/serverregistrar.cpp
+++ b/src/passthrough/tests/serverregistrar.cpp
@@ -1,8 +1,10 @@
 #include "passthrough/internal/serverregistrar.h"
 
+#include "foundation/seededrandom.h"
 #include "passthrough/tests/fakefleet.h"
 
 #include <CppUTest/TestHarness.h>
+#include <thread>
 
 using namespace clementinesill;
 using namespace clementinesill::passthrough;
@@ -67,3 +69,28 @@
     const std::lock_guard lock(fleet.mutex);
     CHECK(fleet.announcedBootIds[1] != fleet.announcedBootIds[0]);
 }
+
+// Guards against a registration that cannot succeed and delays that of the server that runs until its lease has expired (review/7).
+TEST(ServerRegistrar, RunningServerIsRegisteredWithinItsLeaseAfterInstancesThatNoControllerAccepts)
+{
+    constexpr std::chrono::seconds lease { 3 };
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        SeededRandom random(seed);
+        const auto unavailableInstances = 1 + random.below(4);
+        for (std::uint64_t instance = 0; instance < unavailableInstances; ++instance) {
+            auto other = heartbeat(1000 * seed + instance);
+            other.name = "other-" + std::to_string(1000 * seed + instance);
+            {
+                const std::lock_guard lock(fleet.mutex);
+                fleet.unavailableNames.insert(other.name);
+            }
+            registrar.setServer(other, { .restarted = true });
+            if (random.below(2))
+                std::this_thread::sleep_for(std::chrono::milliseconds(random.below(200)));
+        }
+        auto running = heartbeat(seed);
+        running.name = "server-" + std::to_string(seed);
+        registrar.setServer(running, { .restarted = true });
+        CHECK_TEXT(fleet.waitForAnnouncement(running.name, lease), ("seed " + std::to_string(seed)).c_str());
+    }
+}
