Accept a first configuration of version 0

Cause: version 0 stood for "no document" as well.

Change: the version is optional wherever "none" is possible, in the code and in the messages. Data of older versions stay readable, since they do not contain a version of 0.

--- a/src/control/internal/configdocument.cpp
+++ b/src/control/internal/configdocument.cpp
@@ -30,7 +30,8 @@
 
 void ConfigDocument::save(schema::FleetSnapshot& snapshot) const
 {
-    snapshot.set_document_version(m_version);
+    if (m_version)
+        snapshot.set_document_version(*m_version);
     snapshot.set_document_text(m_text);
     for (const auto& [endpoint, route] : m_routes)
         *snapshot.add_routes() = route;
@@ -38,7 +39,9 @@
 
 void ConfigDocument::restore(const schema::FleetSnapshot& snapshot)
 {
-    m_version = snapshot.document_version();
+    m_version.reset();
+    if (snapshot.has_document_version())
+        m_version = snapshot.document_version();
     m_text = snapshot.document_text();
     m_routes.clear();
     for (const auto& route : snapshot.routes())
--- a/src/control/internal/controller.cpp
+++ b/src/control/internal/controller.cpp
@@ -209,9 +209,10 @@
     setOutcome(read.outcome, co_await m_log.submit(std::move(barrier)));
     if (read.outcome.code() != schema::Outcome::CODE_OK)
         co_return read;
-    read.version = m_state.document().version();
+    const auto version = m_state.document().version();
+    read.version = version.value_or(0);
     read.text = m_state.document().text();
-    if (!read.version) {
+    if (!version) {
         read.outcome.set_code(schema::Outcome::CODE_NOT_FOUND);
         read.outcome.set_message("no configuration has been accepted yet; send one");
     }
--- a/src/control/internal/fleetstateviews.cpp
+++ b/src/control/internal/fleetstateviews.cpp
@@ -65,7 +65,8 @@
         else
             *delta.add_routes() = found->second;
     }
-    delta.set_document_version(m_document.version());
+    if (m_document.version())
+        delta.set_document_version(*m_document.version());
     return update;
 }
 
@@ -84,7 +85,8 @@
     }
     for (const auto& [endpoint, route] : m_document.routes())
         *table.add_routes() = route;
-    table.set_document_version(m_document.version());
+    if (m_document.version())
+        table.set_document_version(*m_document.version());
     return table;
 }
 
--- a/src/control/tests/configdocument.cpp
+++ b/src/control/tests/configdocument.cpp
@@ -1,10 +1,13 @@
 #include "control/configdocument.h"
 
 #include "control/fleetstate.h"
+#include "fleet/fleettable.h"
 #include "fleet/tabledelta.h"
 
 #include <CppUTest/TestHarness.h>
 #include <google/protobuf/util/message_differencer.h>
+#include <memory>
+#include <optional>
 #include <rapidcheck.h>
 
 using namespace clementinesill;
@@ -54,7 +57,7 @@
     CHECK(state.apply(documentCommand(4, "another four", { "198.18.0.1:81" })).code == schema::Outcome::CODE_OK);
     CHECK(state.apply(documentCommand(3, "three", {})).code == schema::Outcome::CODE_OK);
     LONGS_EQUAL(version, state.version());
-    LONGS_EQUAL(4, state.document().version());
+    CHECK(state.document().version() == 4U);
     STRCMP_EQUAL("four", state.document().text().c_str());
     state.apply(documentCommand(9, "nine", {}));
     STRCMP_EQUAL("nine", state.document().text().c_str());
@@ -125,11 +128,45 @@
     FleetState restored;
     restored.restore(state.snapshot());
     STRCMP_EQUAL("seven", restored.document().text().c_str());
-    LONGS_EQUAL(7, restored.document().version());
+    CHECK(restored.document().version() == 7U);
     LONGS_EQUAL(1, restored.table().routes_size());
     CHECK(restored.zones().at("kat-a").state() == schema::ZONE_STATE_OUT);
 }
 
+// Guards against a first document of version 0 that is acknowledged and not stored, since 0 stood for "none" (review/9).
+TEST(ConfigDocument, AcceptedDocumentIsInForceUnlessSuperseded)
+{
+    CHECK(rc::check("documents of any versions, among them 0, through deltas, restarts and snapshots", [] {
+        const auto versions = *rc::gen::container<std::vector<std::uint64_t>>(rc::gen::weightedOneOf<std::uint64_t>({ { 2, rc::gen::inRange<std::uint64_t>(0, 4) }, { 1, rc::gen::arbitrary<std::uint64_t>() } }));
+        auto current = std::make_unique<FleetState>();
+        schema::Table daemonTable;
+        std::optional<std::uint64_t> highest;
+        std::string text;
+        for (const auto version : versions) {
+            if (!highest || version > *highest) {
+                highest = version;
+                text = "document " + std::to_string(version);
+            }
+            RC_ASSERT(current->apply(documentCommand(version, "document " + std::to_string(version), { "198.18.0.1:80" })).code == schema::Outcome::CODE_OK);
+            if (*rc::gen::arbitrary<bool>()) {
+                auto restored = std::make_unique<FleetState>();
+                restored->restore(current->snapshot());
+                current = std::move(restored);
+            }
+            const auto update = current->updateFrom(daemonTable.version());
+            if (update->has_table())
+                daemonTable = update->table();
+            else
+                RC_ASSERT(!update->has_delta() || fleet::applyDelta(daemonTable, update->delta()));
+            RC_ASSERT(current->document().version() == highest);
+            RC_ASSERT(current->document().text() == text);
+            RC_ASSERT(fleet::FleetTable(daemonTable).documentVersion() == highest);
+            RC_ASSERT(!current->document().supersedes(version));
+        }
+        RC_ASSERT(current->document().supersedes(0) == versions.empty());
+    }));
+}
+
 TEST(ConfigDocument, SetZoneCreatesUnknownZoneAndIsIdempotent)
 {
     CHECK(state.apply(zoneCommand("kat-a", schema::ZONE_STATE_OUT)).code == schema::Outcome::CODE_OK);
--- a/src/fleet/fleettable.h
+++ b/src/fleet/fleettable.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -47,8 +48,8 @@
     std::uint32_t newestServerId() const { return m_newestServerId; }
     bool hasSilentServer() const { return m_hasSilentServer; }
 
-    // Version of the operators' configuration document that defines the routes; 0 for none.
-    std::uint64_t documentVersion() const { return m_documentVersion; }
+    // Version of the operators' configuration document that defines the routes; empty if there is none.
+    std::optional<std::uint64_t> documentVersion() const { return m_documentVersion; }
 
 private:
     void addService(const schema::Service& record);
@@ -59,7 +60,7 @@
 
     std::uint64_t m_version = 0;
     std::uint64_t m_hashSeed = 0;
-    std::uint64_t m_documentVersion = 0;
+    std::optional<std::uint64_t> m_documentVersion;
     std::uint32_t m_newestServerId = 0;
     bool m_hasSilentServer = false;
     std::vector<ServiceEntry> m_services;
--- a/src/fleet/internal/fleettable.cpp
+++ b/src/fleet/internal/fleettable.cpp
@@ -79,7 +79,7 @@
 FleetTable::FleetTable(const schema::Table& table)
     : m_version(table.version())
     , m_hashSeed(table.hash_seed())
-    , m_documentVersion(table.document_version())
+    , m_documentVersion(table.has_document_version() ? std::optional(table.document_version()) : std::nullopt)
 {
     for (const auto& zone : table.zones())
         m_zoneIsOut[zone.name()] = zone.state() == schema::ZONE_STATE_OUT;
--- a/src/fleet/internal/tabledelta.cpp
+++ b/src/fleet/internal/tabledelta.cpp
@@ -43,7 +43,8 @@
     applyChanges(*table.mutable_zones(), delta.zones(), delta.removed_zones(), [](const schema::Zone& zone) { return zone.name(); });
     applyChanges(*table.mutable_servers(), delta.servers(), delta.removed_servers(), [](const schema::Server& server) { return server.id(); });
     applyChanges(*table.mutable_routes(), delta.routes(), delta.removed_routes(), [](const schema::Route& route) { return route.endpoint(); });
-    table.set_document_version(delta.document_version());
+    if (delta.has_document_version())
+        table.set_document_version(delta.document_version());
     table.set_version(delta.to_version());
     return true;
 }
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -102,7 +102,7 @@
         m_thread = std::thread([this] { m_loop.run(); });
         registerMetrics();
         m_heartbeatListener = m_makeHeartbeatListener(m_settings.control_endpoint(), *this);
-        m_readyListener = m_makeReadyListener(m_settings.ready_endpoint(), [this] { return m_fleet.tables().table()->documentVersion() != 0; });
+        m_readyListener = m_makeReadyListener(m_settings.ready_endpoint(), [this] { return m_fleet.tables().table()->documentVersion().has_value(); });
     }
 
     // Flows are terminated at the server, so no draining is needed: after a restart, the agent probes the server for them.
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -100,7 +100,7 @@
             asio::co_spawn(m_loop, m_callerSocket.run([this](auto datagram) { onCallerPackets({ &datagram, 1 }); }), asio::detached);
         asio::co_spawn(m_loop, m_peerSocket.run([this](auto datagram) { onAgentPacket(datagram); }), asio::detached);
         m_thread = std::thread([this] { m_loop.run(); });
-        m_readyListener = m_makeReadyListener(m_settings.ready_endpoint(), [this] { return !m_shuttingDown && m_fleet.tables().table()->documentVersion(); });
+        m_readyListener = m_makeReadyListener(m_settings.ready_endpoint(), [this] { return !m_shuttingDown && m_fleet.tables().table()->documentVersion().has_value(); });
     }
 
     // Reports not ready, so that the fabric removes this balancer, and forwards packets until it has done so.
