Tests: restore the recovery bound that loosened

They have their bound again; only PlannedWork::Mixed waits.

The fixture also accepted ErrorKind::Unavailable from any replica; it now accepts it only from one that has announced its stop, and requires it there.

--- a/src/control/tests/discoveredgroup.h
+++ b/src/control/tests/discoveredgroup.h
@@ -62,6 +62,7 @@
     {
         clementinesill::schema::LeaveGroupRequest request;
         runOn(index, [&](auto& log) { request = log.leaveGroup(); });
+        leaving.insert(index);
         for (std::size_t to = 0; to < replicas.size(); ++to) {
             if (to != index && !isPartitioned(index, to))
                 runOn(to, [&](auto& log) { log.onLeaveGroup(request); });
--- a/src/control/tests/grouptolerance.cpp
+++ b/src/control/tests/grouptolerance.cpp
@@ -58,10 +58,11 @@
         loseAllPower();
     }
 
-    // Whether a leader is elected once all controllers are back, and has applied every committed command.
+    // Whether a leader is elected within the recovery time, and has applied every committed command. The time begins with the last
+    // loss; in PlannedWork::Mixed, whose stops are as long as the time itself, once all controllers are back.
     bool recovers()
     {
-        while (!allRun())
+        while (m_work == PlannedWork::Mixed && !allRun())
             advance();
         const auto deadline = m_group.clock.now() + DiscoveredGroup::recoveryTime;
         while (m_group.clock.now() < deadline && !m_group.leader())
@@ -277,10 +278,10 @@
                 m_group.paused.erase(index);
                 controller.wakesAt.reset();
             }
-            if (!controller.startsAt && !controller.wakesAt && (m_work != PlannedWork::Mixed || m_group.leader()))
-                controller.ranFor += timeStep;
             if (controller.ranFor >= DiscoveredGroup::catchUpTime)
                 controller.countsAsLost = false;
+            if (!controller.startsAt && !controller.wakesAt && (m_work != PlannedWork::Mixed || m_group.leader()))
+                controller.ranFor += timeStep;
         }
         m_group.advanceAndJoin(timeStep);
     }
--- a/src/control/tests/replicagroup.h
+++ b/src/control/tests/replicagroup.h
@@ -65,7 +65,7 @@
         } catch (const FakeFileSystem::PowerLoss&) {
             kill(index);
         } catch (const clementinesill::Error& error) {
-            CHECK(error.kind() == clementinesill::ErrorKind::Unavailable || (error.kind() == clementinesill::ErrorKind::Storage && replica.files.full));
+            CHECK(leaving.contains(index) ? error.kind() == clementinesill::ErrorKind::Unavailable : error.kind() == clementinesill::ErrorKind::Storage && replica.files.full);
         }
     }
 
@@ -73,6 +73,7 @@
     {
         auto& replica = *replicas[index];
         replica.log.reset();
+        leaving.erase(index);
         replica.links.clear();
         replica.files.restartAfterPowerLoss(random);
     }
@@ -226,6 +227,8 @@
     std::set<std::pair<std::size_t, std::size_t>> partitions;
     // Replicas that do not run; they keep their state and receive no messages.
     std::set<std::size_t> paused;
+    // Replicas that have announced their stop and still run; they reject what a leader sends.
+    std::set<std::size_t> leaving;
     // Messages for which this returns true are dropped, if set.
     std::function<bool(const Message&)> shouldDrop;
 
