Controllers: log again when a readmitted learner waits

The last obstacle of a learner was kept when it became a member, so that the same obstacle was not logged when it was a learner again under the same leader. The branch for no obstacle had no caller any more.

--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -258,7 +258,7 @@
 // Logs the obstacle if it has changed.
 void ReplicatedLog::recordAdmissionObstacle(const std::string& learner, AdmissionObstacle obstacle)
 {
-    if (std::exchange(m_admissionObstacles[learner], obstacle) == obstacle || obstacle == AdmissionObstacle::None)
+    if (std::exchange(m_admissionObstacles[learner], obstacle) == obstacle)
         return;
     const auto& progress = m_replication.peers().at(learner);
     log(LogLevel::Info, "learner_waiting", { { .key = "learner", .value = learner }, { .key = logkey::reason, .value = admissionObstacles.at(static_cast<std::size_t>(obstacle)) }, { .key = "match_index", .value = std::to_string(progress.matchIndex) }, { .key = "commit_index", .value = std::to_string(m_commitIndex) } });
@@ -297,8 +297,10 @@
         // It is sent the log as a learner, so that it is admitted again soon if it returns.
         m_joinedPeers[name] = { .name = name, .endpoint = member(name)->endpoint() };
     }
-    for (const auto& name : change.added)
+    for (const auto& name : change.added) {
         log(LogLevel::Info, "member_admitted", { { .key = "member", .value = name } });
+        m_admissionObstacles.erase(name);
+    }
     schema::Command command;
     *command.mutable_membership() = change.membership;
     appendEntry(command.SerializeAsString(), true);
