--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,8 +8,8 @@
 from harness import CannotRun, Deployment, Operator, Requester, Server, manifest, now, run_case  # noqa: E402
 
 COLD_S, COLD_PER_S = 6.0, 2.0
-SIDES = ("desk",) * 6 + ("gallery",) * 2   # one agent of eight is restarted
-RATE = 80.0           # new flows a second to the two servers of the gallery
+SIDES = ("desk",) * 7 + ("gallery",) * 3   # as on tdw-sill; one agent of ten is restarted
+RATE = 150.0          # new flows a second to the three servers of the gallery
 RESTART_AFTER_S = 0.1
 
 
@@ -25,7 +25,7 @@
 
 
 async def case(record, trouble):
-    deployment = Deployment(record, fronts=1, cores=3, sides=SIDES, zones=("zone-a",))
+    deployment = Deployment(record, fronts=7, cores=5, sides=SIDES, zones=("zone-a",))
     servers = []
     try:
         deployment.start_all()
