--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -142,9 +142,9 @@
         self.next_host += 1
         return f"{self.net}.{self.next_host - 1}"
 
-    def add(self, kind, zone):
+    def add(self, kind, zone, name=None):
         count = sum(1 for m in self.machines.values() if m.kind == kind) + 1
-        machine = Machine(f"{kind}-{count}", kind, self.ip(), zone)
+        machine = Machine(name or f"{kind}-{count}", kind, self.ip(), zone)
         self.machines[machine.name] = machine
         return machine
 
