Controllers: a learner takes the place of a silent member at once

Cause: a successor was admitted as a sixth voter beside the member that it replaces, which kept its vote for 12 s. The next two losses left three of six; half of the six may decide only if a data folder is known to be lost, and a machine that is gone for good never gives that evidence.

Change: a learner replaces the silent member in one step, a sixth is admitted only while all respond, and five or four of a group of six go on without the silent ones. A member that was removed by mistake returns as a learner. For 12 s after a removal a group of five shrinks to four if another member becomes silent, since either may be the one that is gone for good. Elections, commits and the lease are as before.

--- a/src/control/internal/discoveredgroupoptions.cpp
+++ b/src/control/internal/discoveredgroupoptions.cpp
@@ -25,7 +25,7 @@
 // by then the successor votes in its place, also if the leader changes once. A process that is restarted is back sooner.
 constexpr auto discoveredMemberAbsenceTimeout = std::chrono::milliseconds(1500);
 // VMs that are stopped, killed or frozen are back within some seconds.
-constexpr auto discoveredMemberRemovalTimeout = std::chrono::seconds(12);
+constexpr auto discoveredMemberReturnTimeout = std::chrono::seconds(12);
 
 } // namespace
 
@@ -39,7 +39,7 @@
     options.maxElectionTimeout = discoveredMaxElectionTimeout;
     options.leaseDuration = discoveredLeaseDuration;
     options.memberAbsenceTimeout = discoveredMemberAbsenceTimeout;
-    options.memberRemovalTimeout = discoveredMemberRemovalTimeout;
+    options.memberReturnTimeout = discoveredMemberReturnTimeout;
     std::sort(seeds.begin(), seeds.end());
     options.mayBootstrap = firstStart && std::binary_search(seeds.begin(), seeds.end(), options.endpoint);
     if (!options.mayBootstrap)
--- a/src/control/internal/leader.cpp
+++ b/src/control/internal/leader.cpp
@@ -187,7 +187,7 @@
         flushEntries();
     }
     forgetSilentLearners();
-    const GroupState group { .members = memberStates(), .halfMayDecide = m_log.membership()->half_may_decide(), .learners = admissibleLearners() };
+    const GroupState group { .members = memberStates(), .halfMayDecide = m_log.membership()->half_may_decide(), .removedMemberMayReturn = m_log.membership()->removed_members_may_return() && hasLearnerThatMayReturn(), .learners = admissibleLearners() };
     if (const auto change = m_planner.nextChange(group)) {
         proposeMembership(*change);
         return;
@@ -202,19 +202,29 @@
     std::vector<MemberState> states;
     for (const auto& member : m_log.membership()->members()) {
         auto& state = states.emplace_back(MemberState { .member = member });
-        state.isResponding = m_replication.isActiveSince(member, since);
-        state.isAbsent = m_absences.hasDeparted(member.name(), m_clock.now()) || isSilentFor(member, m_options.memberAbsenceTimeout);
-        state.isGone = isSilentFor(member, m_options.memberRemovalTimeout);
+        const bool hasDeparted = m_absences.hasDeparted(member.name(), m_clock.now());
+        state.isResponding = m_replication.isActiveSince(member, since) && !hasDeparted;
+        state.isSilent = !state.isResponding && (hasDeparted || isSilentFor(member, m_options.minElectionTimeout));
+        state.isAbsent = hasDeparted || isSilentFor(member, m_options.memberAbsenceTimeout);
         const auto identity = m_replication.peer(member.name()).diskIdentity;
         state.hasLostDataFolder = member.name() != m_options.name && identity && identity != member.disk_identity();
     }
     return states;
 }
 
+bool ReplicatedLog::hasLearnerThatMayReturn() const
+{
+    const auto now = m_clock.now();
+    return std::any_of(m_joinedPeers.begin(), m_joinedPeers.end(), [&](const auto& entry) {
+        const auto lastResponse = m_absences.lastResponse(entry.first);
+        return !member(entry.first) && lastResponse < now - m_options.minElectionTimeout && lastResponse > now - m_options.memberReturnTimeout;
+    });
+}
+
 bool ReplicatedLog::isSilentFor(const schema::Member& member, Duration duration) const
 {
     const auto now = m_clock.now();
-    const bool hadTimeToRespond = m_leaderSince + m_options.maxElectionTimeout <= now;
+    const bool hadTimeToRespond = m_leaderSince + std::min(duration, m_options.maxElectionTimeout) <= now;
     return hadTimeToRespond && member.name() != m_options.name && m_absences.lastResponse(member.name()) <= now - duration;
 }
 
--- a/src/control/internal/membershipplanner.cpp
+++ b/src/control/internal/membershipplanner.cpp
@@ -9,20 +9,22 @@
 
 using Members = std::vector<MemberState>;
 
-bool hasAbsentMember(const Members& members)
+using MemberFlag = bool MemberState::*;
+
+bool hasMember(const Members& members, MemberFlag flag)
 {
-    return std::any_of(members.begin(), members.end(), [](const auto& state) { return state.isAbsent; });
+    return std::any_of(members.begin(), members.end(), [&](const auto& state) { return state.*flag; });
 }
 
-bool hasSilentMember(const Members& members)
+bool allRespond(const Members& members)
 {
-    return std::any_of(members.begin(), members.end(), [](const auto& state) { return !state.isResponding; });
+    return std::all_of(members.begin(), members.end(), [](const auto& state) { return state.isResponding; });
 }
 
-// Whether all members respond except the absent ones.
-bool allOthersRespond(const Members& members)
+// Whether each member either responds or is silent.
+bool isEachMemberKnown(const Members& members)
 {
-    return std::all_of(members.begin(), members.end(), [](const auto& state) { return state.isAbsent || state.isResponding; });
+    return std::all_of(members.begin(), members.end(), [](const auto& state) { return state.isResponding || state.isSilent; });
 }
 
 bool isMember(const Members& members, const schema::Member& learner)
@@ -30,6 +32,12 @@
     return std::any_of(members.begin(), members.end(), [&](const auto& state) { return state.member.name() == learner.name(); });
 }
 
+void admit(MembershipChange& change, const schema::Member& learner)
+{
+    change.added.push_back(learner.name());
+    *change.membership.add_members() = learner;
+}
+
 template <typename Predicate>
 MembershipChange changeWithout(const Members& members, Predicate isRemoved, std::string reason)
 {
@@ -48,10 +56,11 @@
 std::optional<MembershipChange> MembershipPlanner::nextChange(const GroupState& group) const
 {
     using Step = std::optional<MembershipChange> (MembershipPlanner::*)(const GroupState&) const;
-    constexpr std::array<Step, 4> steps { &MembershipPlanner::replaceDataFolder, &MembershipPlanner::removeLostDataFolder, &MembershipPlanner::removeGoneMembers, &MembershipPlanner::admitLearner };
+    constexpr std::array<Step, 4> steps { &MembershipPlanner::replaceDataFolder, &MembershipPlanner::removeLostDataFolder, &MembershipPlanner::replaceSilentMembers, &MembershipPlanner::admitLearner };
     for (const auto step : steps) {
         if (auto change = (this->*step)(group)) {
             change->membership.set_half_may_decide(halfMayDecide(change->membership.members_size(), isReduced(group) || change->reducesGroup));
+            change->membership.set_removed_members_may_return(change->removesSilentMembers || group.removedMemberMayReturn);
             return change;
         }
     }
@@ -72,8 +81,7 @@
         return std::nullopt;
     auto change = changeWithout(
         group.members, [&](const auto& state) { return state.member.name() == learner->name(); }, "its data folder was replaced");
-    change.added.push_back(learner->name());
-    *change.membership.add_members() = *learner;
+    admit(change, *learner);
     return change;
 }
 
@@ -89,34 +97,50 @@
         members, [&](const auto& state) { return &state == &*lost; }, "its data folder was replaced");
 }
 
-// All of them at once: one that stayed could be gone for good while one that was removed returns.
-std::optional<MembershipChange> MembershipPlanner::removeGoneMembers(const GroupState& group) const
+// Removes all of them at once: which of them will return is not known, and one that stayed could be gone for good while one that was
+// removed returns. A removed member that returns is a learner and is admitted again.
+std::optional<MembershipChange> MembershipPlanner::replaceSilentMembers(const GroupState& group) const
 {
+    const auto& members = group.members;
+    const bool isForming = static_cast<int>(members.size()) < m_options.maxMembers && !isReduced(group);
+    const bool hasNewLearner = std::any_of(group.learners.begin(), group.learners.end(), [&](const auto& learner) { return !isMember(members, learner); });
+    const bool mayShrink = exceedsRegularSize(group) || group.removedMemberMayReturn;
+    if (isForming || !(hasNewLearner || mayShrink) || !isEachMemberKnown(members))
+        return std::nullopt;
     auto change = changeWithout(
-        group.members, [](const auto& state) { return state.isGone; }, "it has not responded for the removal timeout, and a learner has been admitted");
-    const auto remaining = change.membership.members_size();
-    const auto responding = std::count_if(group.members.begin(), group.members.end(), [](const auto& state) { return state.isResponding; });
-    if (!exceedsRegularSize(group) || change.removed.empty() || responding * 2 <= remaining)
+        members, [](const auto& state) { return state.isSilent; }, "it does not respond, and the others are enough");
+    for (const auto& learner : group.learners) {
+        if (change.membership.members_size() == largestSize())
+            break;
+        if (!isMember(members, learner))
+            admit(change, learner);
+    }
+    const auto size = change.membership.members_size();
+    if (change.removed.empty() || size < smallestSize())
+        return std::nullopt;
+    // There is a place for a removed member that returns. Without a learner, a short pause of two members must not halve the losses
+    // that the group tolerates.
+    const bool mayReplaceAtOnce = m_options.spareMembers && (size >= m_options.maxMembers || !change.added.empty());
+    if (!mayReplaceAtOnce && !hasMember(members, &MemberState::isAbsent) && !group.removedMemberMayReturn)
         return std::nullopt;
-    change.reducesGroup = remaining < m_options.maxMembers;
+    change.reducesGroup = size < m_options.maxMembers;
+    change.removesSilentMembers = true;
     return change;
 }
 
+// A group of regular size or a reduced one grows only while all members respond; otherwise the learner replaces the silent ones.
 std::optional<MembershipChange> MembershipPlanner::admitLearner(const GroupState& group) const
 {
+    const auto& members = group.members;
     const auto& learners = group.learners;
-    const auto learner = std::find_if(learners.begin(), learners.end(), [&](const auto& candidate) { return !isMember(group.members, candidate); });
-    if (learner == learners.end())
-        return std::nullopt;
-    // A reduced group does not grow while a member is silent, since that one may be gone for good.
-    const bool isFull = static_cast<int>(group.members.size()) >= m_options.maxMembers + m_options.spareMembers;
-    const bool replacesAbsentMembers = isFull || (isReduced(group) && hasSilentMember(group.members));
-    if (replacesAbsentMembers && !(hasAbsentMember(group.members) && allOthersRespond(group.members)))
+    const auto learner = std::find_if(learners.begin(), learners.end(), [&](const auto& candidate) { return !isMember(members, candidate); });
+    const auto size = static_cast<int>(members.size());
+    const bool isForming = size < m_options.maxMembers && !isReduced(group);
+    if (learner == learners.end() || size >= largestSize() || !(isForming || allRespond(members)))
         return std::nullopt;
     auto change = changeWithout(
-        group.members, [&](const auto& state) { return replacesAbsentMembers && state.isAbsent; }, "it does not respond, and a learner takes its place");
-    change.added.push_back(learner->name());
-    *change.membership.add_members() = *learner;
+        members, [](const auto&) { return false; }, {});
+    admit(change, *learner);
     return change;
 }
 
--- a/src/control/membershipplanner.h
+++ b/src/control/membershipplanner.h
@@ -9,13 +9,13 @@
 namespace clementinesill::control {
 
 // Decides which controllers vote. The leader cannot distinguish a member that is stopped for a while from one that is gone for
-// good, so a member that is silent keeps its vote until it has been silent for longer than any stop takes, or until a learner
-// needs its place and all other members respond. A removed controller that returns is a learner like any other.
+// good, so it does not choose between silent members: once enough others respond, with the learners that wait for a place, all
+// silent members are removed at once. A removed controller that returns is a learner like any other.
 //
-// With five regular members and a spare one, a learner is admitted as the sixth voter while the one that it replaces is still a
-// member. In a group of six, half of the members may decide if a data folder is known to be lost: with one member gone for good
-// and two data folders lost, the other three still elect a leader, whichever they are. If two of the six are removed, half of the
-// remaining four may decide, too; five with a member that is gone for good would not tolerate two lost data folders.
+// With five regular members and a spare one, a learner is admitted as the sixth voter while all five respond: one of the six may be
+// removed without notice, at the same time as others are lost. If one of the six is silent, the other five go on without it; if two
+// are, the other four. Four commit with three, as five do. In a group of six, and in such a group of four, half of the members may
+// decide if a data folder is known to be lost.
 class MembershipPlanner {
 public:
     explicit MembershipPlanner(const MembershipPlannerOptions& options)
@@ -29,10 +29,13 @@
 private:
     std::optional<MembershipChange> replaceDataFolder(const GroupState& group) const;
     std::optional<MembershipChange> removeLostDataFolder(const GroupState& group) const;
-    std::optional<MembershipChange> removeGoneMembers(const GroupState& group) const;
+    std::optional<MembershipChange> replaceSilentMembers(const GroupState& group) const;
     std::optional<MembershipChange> admitLearner(const GroupState& group) const;
     bool exceedsRegularSize(const GroupState& group) const { return static_cast<int>(group.members.size()) > m_options.maxMembers; }
-    // Whether members were removed from a group that exceeded its regular size, so that it is smaller now.
+    int largestSize() const { return m_options.maxMembers + m_options.spareMembers; }
+    // A group with spare members may lack one: commits take as many members as in a group of regular size, which is odd.
+    int smallestSize() const { return m_options.maxMembers - (m_options.spareMembers ? 1 : 0); }
+    // Whether silent members were removed, so that the group is smaller than its regular size.
     bool isReduced(const GroupState& group) const { return group.halfMayDecide && !exceedsRegularSize(group); }
     bool halfMayDecide(int members, bool reduced) const;
 
--- a/src/control/replicatedlog.h
+++ b/src/control/replicatedlog.h
@@ -175,6 +175,8 @@
     void forgetSilentLearners();
     void recordAdmissionObstacle(const std::string& learner, AdmissionObstacle obstacle);
     std::vector<MemberState> memberStates();
+    // Whether a learner is silent, but for less than the member return timeout.
+    bool hasLearnerThatMayReturn() const;
     // Learners that may be admitted now; logs the obstacles of the others.
     std::vector<schema::Member> admissibleLearners();
     // Whether the member has not responded to a leader for the duration, and has had time to respond to this one.
--- a/src/control/tests/discoveredgroup.h
+++ b/src/control/tests/discoveredgroup.h
@@ -13,6 +13,10 @@
     // A controller that was replaced by one at another address no longer counts as lost once the successor has run for this long
     // (catch_up_s of the users' deployments).
     static constexpr auto catchUpTime = std::chrono::seconds(4);
+    // A controller that was removed has been noticed by then, also if it led. Until then its disk counts as lost, although its successor
+    // has caught up: with two more lost disks and a controller that is down, every copy of a change may be lost
+    // (docs/design-control.md, "What cannot be tolerated").
+    static constexpr auto noticeTime = std::chrono::seconds(3);
     // Time within which the group must serve again after all controllers are back (recovery_s of the users' deployments).
     static constexpr auto recoveryTime = std::chrono::seconds(12);
 
--- a/src/control/types/membershipchange.h
+++ b/src/control/types/membershipchange.h
@@ -14,7 +14,9 @@
     std::vector<std::string> removed;
     // Why members are removed; empty if none is.
     std::string reason;
-    // The group becomes smaller than its regular size because absent members are removed.
+    // Members are removed because they do not respond; they may return.
+    bool removesSilentMembers = false;
+    // The group becomes smaller than its regular size because silent members are removed.
     bool reducesGroup = false;
 };
 
--- a/src/control/types/membershipplanneroptions.h
+++ b/src/control/types/membershipplanneroptions.h
@@ -5,7 +5,7 @@
 struct MembershipPlannerOptions {
     // Regular number of voting members.
     int maxMembers = 7;
-    // Members that are admitted beyond maxMembers although none is absent.
+    // Members that are admitted beyond maxMembers while all members respond.
     int spareMembers = 0;
 };
 
--- a/src/control/types/replicatedlogoptions.h
+++ b/src/control/types/replicatedlogoptions.h
@@ -22,14 +22,14 @@
     // Maximum number of voting members, exceeded by the spare ones. Further controllers are learners, which replace members that are
     // lost.
     int maxMembers = 7;
-    // Members that are admitted beyond maxMembers although none is absent, so that the group still tolerates as many losses right
-    // after one of its members is removed without notice.
+    // Members that are admitted beyond maxMembers while all respond, so that the group still tolerates as many losses right after one
+    // of its members is removed without notice.
     int spareMembers = 0;
-    // A member that has not responded for this long is replaced if a learner is waiting for a place.
+    // Once a member has not responded for this long, all silent members are removed from a group with more than maxMembers, and
+    // learners take the places of those of a smaller group.
     Duration memberAbsenceTimeout = std::chrono::seconds(5);
-    // A member that has not responded for this long is removed from a group with more than maxMembers. Longer than any stop or restart
-    // takes: a member that is removed and returns is missed by a group that loses others at the same time.
-    Duration memberRemovalTimeout = std::chrono::seconds(30);
+    // A member that was removed because it did not respond may return within this time, which is longer than any stop or restart takes.
+    Duration memberReturnTimeout = std::chrono::seconds(30);
     // A learner that has not responded for this long is no longer sent the log; it has to join again.
     Duration learnerAbsenceTimeout = std::chrono::seconds(30);
     Duration heartbeatInterval = std::chrono::milliseconds(150);
