Balancers follow a newer configuration that agents act by

Cause: the balancer that reads from the frozen controller keeps its table until the lease of the stream ends. Agents judge its SYNs again, each by its own table, and nothing tells the balancer that one of them has acted by a newer configuration.

Evidence: the version of the sender's table is in each SYN, and an agent with an older one accepts the sender's choice. So once the balancer has the newer table, all agents follow; only the balancer's table matters.

Change: an agent that gets a SYN placed by an older configuration sends the balancer a table notice. A balancer that still lacks that table 100 ms later opens a stream to another controller at once.

--- a/src/bench/bench_entry.cpp
+++ b/src/bench/bench_entry.cpp
@@ -67,6 +67,7 @@
     fleet::Registration registerServer(const schema::ServerAnnouncement&, Duration) override { return {}; }
     bool renew(const schema::RenewRequest&) override { return true; }
     void leave(const fleet::Registration&, bool) override { }
+    void leaveStaleController(std::uint64_t) override { }
     void interruptCalls() override { }
 
 private:
--- a/src/dataplane/internal/genevecodec.cpp
+++ b/src/dataplane/internal/genevecodec.cpp
@@ -37,6 +37,8 @@
     TraversalOption = 0x05,
     // Not critical: without it, the balancer places new flows as if it knew nothing about the servers' load.
     LoadNoticeOption = 0x06,
+    // Not critical: without it, the balancer learns of a newer table from its controller only.
+    TableNoticeOption = 0x07,
 };
 
 bool readRoute(std::span<const std::byte> body, GeneveMessage& message)
@@ -132,6 +134,14 @@
         notice.servers.push_back(reinterpret_cast<const boost::endian::big_uint32_buf_t*>(body.data() + offset)->value());
 }
 
+bool readTableNotice(std::span<const std::byte> body, GeneveMessage& message)
+{
+    if (body.size() != sizeof(boost::endian::big_uint64_buf_t))
+        return false;
+    message.newerTableVersion = reinterpret_cast<const boost::endian::big_uint64_buf_t*>(body.data())->value();
+    return true;
+}
+
 PacketError readOption(const GeneveOptionHeader& header, std::span<const std::byte> body, GeneveMessage& message)
 {
     const auto unknownOptionError = header.type.value() & criticalBit ? PacketError::UnknownCriticalOption : PacketError::None;
@@ -158,6 +168,9 @@
         readLoadNotice(body, message);
         hasValidLength = true;
         break;
+    case TableNoticeOption:
+        hasValidLength = readTableNotice(body, message);
+        break;
     default:
         return unknownOptionError;
     }
@@ -301,10 +314,17 @@
     message.holder.reset();
     message.newestKnownServer.reset();
     message.loadNotice.reset();
+    message.newerTableVersion.reset();
     message.payload = datagram.subspan(sizeof(GeneveHeader) + optionsBytes);
     return readOptions(datagram.subspan(sizeof(GeneveHeader), optionsBytes), message);
 }
 
+void writeTableNotice(std::uint64_t version, std::byte*& end)
+{
+    auto& field = *reinterpret_cast<boost::endian::big_uint64_buf_t*>(appendOption(end, TableNoticeOption, sizeof(boost::endian::big_uint64_buf_t)));
+    field = version;
+}
+
 std::size_t encodeGeneveHeader(const GeneveMessage& message, std::span<std::byte> out)
 {
     auto* const options = out.data() + sizeof(GeneveHeader);
@@ -317,6 +337,8 @@
         writeTraversal(*message.newestKnownServer, end);
     if (message.loadNotice)
         writeLoadNotice(*message.loadNotice, end);
+    if (message.newerTableVersion)
+        writeTableNotice(*message.newerTableVersion, end);
     const auto freeBytes = [&] { return maximumOptionsBytes - static_cast<std::size_t>(end - options); };
     if (const auto count = fittingEntries(message.visited.size(), wordBytes, freeBytes()))
         writeVisited(std::span(message.visited).first(count), end);
--- a/src/dataplane/tests/genevecodec.cpp
+++ b/src/dataplane/tests/genevecodec.cpp
@@ -38,6 +38,8 @@
         for (auto servers = 1 + random.below(8); servers; --servers)
             message.loadNotice->servers.push_back(number());
     }
+    if (!random.below(4))
+        message.newerTableVersion = random.next();
     while (message.visited.size() < visited)
         message.visited.push_back(number());
     while (message.candidates.size() < candidates)
@@ -76,7 +78,7 @@
         RC_ASSERT(decodeGeneve(bytes, decoded) == PacketError::None);
         RC_ASSERT(decoded.serviceId == message.serviceId && decoded.control == message.control);
         RC_ASSERT(decoded.route == message.route && decoded.holder == message.holder);
-        RC_ASSERT(decoded.newestKnownServer == message.newestKnownServer && decoded.loadNotice == message.loadNotice);
+        RC_ASSERT(decoded.newestKnownServer == message.newestKnownServer && decoded.loadNotice == message.loadNotice && decoded.newerTableVersion == message.newerTableVersion);
         RC_ASSERT(decoded.visited == message.visited && decoded.candidates == message.candidates);
         RC_ASSERT(std::all_of(decoded.payload.begin(), decoded.payload.end(), [](auto byte) { return byte == std::byte { 9 }; }));
     }));
--- a/src/dataplane/types/genevemessage.h
+++ b/src/dataplane/types/genevemessage.h
@@ -31,6 +31,8 @@
     boost::container::static_vector<Candidate, maximumCandidates> candidates;
     std::optional<FlowHolder> holder;
     std::optional<LoadNotice> loadNotice;
+    // In a control message to a balancer: the version of the sender's table, which is newer than the one that the balancer used.
+    std::optional<std::uint64_t> newerTableVersion;
     // The encapsulated IPv4 packet.
     std::span<const std::byte> payload;
 };
--- a/src/fleet/ifleetclient.h
+++ b/src/fleet/ifleetclient.h
@@ -41,6 +41,10 @@
     // interrupted.
     virtual void leave(const Registration& registration, bool draining) = 0;
 
+    // Ends the stream of table updates and opens one to another controller at once, unless the table has at least this version.
+    // Called when a peer acts by a newer table, since the controller of this stream may be silent.
+    virtual void leaveStaleController(std::uint64_t newerVersion) = 0;
+
     // Makes calls in progress on other threads throw Error (Unavailable) within a second.
     virtual void interruptCalls() = 0;
 };
--- a/src/fleet/internal/grpcfleetclient.cpp
+++ b/src/fleet/internal/grpcfleetclient.cpp
@@ -133,7 +133,8 @@
             dropConnection(selector.current());
         redirected = end.redirected;
         updateControllers(selector, end.leaderHint);
-        pause(end.redirected ? selector.onLeaderHint(end.leaderHint) : selector.onFailure());
+        const auto backoff = end.redirected ? selector.onLeaderHint(end.leaderHint) : selector.onFailure();
+        pause(end.isStale ? Duration::zero() : backoff);
     }
 }
 
@@ -220,6 +221,7 @@
     auto end = readWatch(endpoint, *stub, request, context);
     const std::lock_guard lock(m_mutex);
     m_watchContext = nullptr;
+    end.isStale = std::exchange(m_leavesStaleController, false);
     return end;
 }
 
@@ -266,6 +268,15 @@
     return end;
 }
 
+void GrpcFleetClient::leaveStaleController(std::uint64_t newerVersion)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_watchContext || m_leavesStaleController || m_holder.table()->version() >= newerVersion)
+        return;
+    m_leavesStaleController = true;
+    m_watchContext->TryCancel();
+}
+
 bool GrpcFleetClient::applyUpdate(const schema::TableUpdate& update)
 {
     switch (update.update_case()) {
--- a/src/fleet/internal/grpcfleetclient.h
+++ b/src/fleet/internal/grpcfleetclient.h
@@ -35,6 +35,7 @@
     Registration registerServer(const schema::ServerAnnouncement& announcement, Duration timeout) override;
     bool renew(const schema::RenewRequest& request) override;
     void leave(const Registration& registration, bool draining) override;
+    void leaveStaleController(std::uint64_t newerVersion) override;
     void interruptCalls() override;
 
 private:
@@ -51,6 +52,8 @@
         bool received = false;
         // The controller does not serve watches and named the leader.
         bool redirected = false;
+        // leaveStaleController() ended the stream.
+        bool isStale = false;
         std::string leaderHint;
         std::string reason;
     };
@@ -104,6 +107,8 @@
     std::map<std::string, Connection> m_connections;
     // Context of the open watch stream; null if there is none.
     grpc::ClientContext* m_watchContext = nullptr;
+    // Whether leaveStaleController() has cancelled the open stream.
+    bool m_leavesStaleController = false;
 };
 
 } // namespace clementinesill::fleet
--- a/src/fleet/tests/grpcfleetclient.cpp
+++ b/src/fleet/tests/grpcfleetclient.cpp
@@ -122,6 +122,36 @@
     CHECK(elapsed < propagationBound);
 }
 
+// Guards against a daemon that keeps an older table until the lease of its silent controller ends, although a peer acts by a newer one
+// (review/8).
+TEST(GrpcFleetClient, LeavesStaleControllerBeforeItsLeaseEnds)
+{
+    const SilentController silent(1);
+    const SilentController upToDate(2);
+    schema::DaemonSettings settings;
+    settings.set_name("balancer");
+    settings.mutable_balancer();
+    std::atomic<bool> changed { false };
+    fleet::GrpcFleetClient client(settings, [&] {
+        return changed ? std::vector { silent.endpoint(), upToDate.endpoint() } : std::vector { silent.endpoint() };
+    });
+    const auto waitForVersion = [&](std::uint64_t version) {
+        const auto deadline = std::chrono::steady_clock::now() + waitTimeout;
+        while (client.tables().table()->version() < version && std::chrono::steady_clock::now() < deadline)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        LONGS_EQUAL(version, client.tables().table()->version());
+    };
+    client.start();
+    waitForVersion(1);
+    changed = true;
+    const auto reported = std::chrono::steady_clock::now();
+    client.leaveStaleController(2);
+    waitForVersion(2);
+    const auto elapsed = std::chrono::steady_clock::now() - reported;
+    client.stop();
+    CHECK(elapsed < fleet::watchLease);
+}
+
 // Guards against a call that no controller can parse and that is repeated until its timeout (review/7).
 TEST(GrpcFleetClient, RejectsAnnouncementThatCannotBeParsedAtOnce)
 {
--- a/src/passthrough/internal/packetrelay.cpp
+++ b/src/passthrough/internal/packetrelay.cpp
@@ -18,6 +18,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <utility>
 
 namespace clementinesill::passthrough {
 
@@ -29,6 +30,8 @@
 constexpr std::size_t pendingCapacity = 2048;
 // Packets that wait at the same time for the leader to confirm the table.
 constexpr std::size_t unconfirmedCapacity = 512;
+// Bounds the notices while balancers lag.
+constexpr std::chrono::milliseconds tableNoticeInterval { 20 };
 
 } // namespace
 
@@ -43,6 +46,7 @@
     , m_waitTimer(loop)
     , m_holdTimes(options.metrics, "opening_hold_seconds")
     , m_loadNotices(options.metrics.counter("load_notices_sent_total"))
+    , m_tableNotices(options.metrics.counter("table_notices_sent_total"))
 {
     for (std::size_t reason = 0; reason < m_decisionCounters.size(); ++reason)
         m_decisionCounters[reason] = &options.metrics.counter("relay_packets_total", { { "reason", std::string(name(static_cast<RelayReason>(reason))) } });
@@ -78,6 +82,8 @@
     const auto table = m_options.tables.table();
     if (table->version() != m_tableVersion) {
         m_tableVersion = table->version();
+        if (std::exchange(m_documentVersion, table->documentVersion()) != table->documentVersion())
+            m_documentSince = m_tableVersion;
         m_options.onTableChanged(*table);
     }
     if (message.route->tableVersion > table->version())
@@ -125,6 +131,8 @@
     recordDecision(decision, search, packet);
     if (m_options.sendLoadNotices && packet.opensFlow())
         reportLoad(decision, search, packet);
+    if (packet.opensFlow())
+        reportNewerTable(search);
     switch (decision.action) {
     case RelayAction::Deliver:
     case RelayAction::Open:
@@ -206,6 +214,21 @@
     ++m_loadNotices;
 }
 
+// The balancer chose by an older configuration. Its controller may be silent, while agents act by the newer one already.
+void PacketRelay::reportNewerTable(const Search& search)
+{
+    const auto now = m_options.clock.now();
+    if (!search.route.balancer.port || search.route.tableVersion >= m_documentSince || now < m_nextTableNotice)
+        return;
+    m_nextTableNotice = now + tableNoticeInterval;
+    dataplane::GeneveMessage message;
+    message.serviceId = search.route.serviceId;
+    message.control = true;
+    message.newerTableVersion = m_documentSince;
+    m_daemonSocket.send(message, {}, search.route.balancer);
+    ++m_tableNotices;
+}
+
 void PacketRelay::recordDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet)
 {
     ++*m_decisionCounters.at(static_cast<std::size_t>(decision.reason));
--- a/src/passthrough/internal/packetrelay.h
+++ b/src/passthrough/internal/packetrelay.h
@@ -54,6 +54,7 @@
     void releaseIfDue();
     void scheduleNextExpiry();
     void reportLoad(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
+    void reportNewerTable(const Search& search);
     void notifyBalancer(const Search& search, const fleet::FlowKey& key);
     void recordDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
     RelayDecisionContext decisionContext(const FlowPacket& packet) const;
@@ -77,6 +78,11 @@
     std::optional<MonotonicTime> m_timerExpiry;
     RouteHistograms m_holdTimes;
     Counter& m_loadNotices;
+    // Version of the configuration, and of the first table that was seen with it.
+    std::optional<std::uint64_t> m_documentVersion;
+    std::uint64_t m_documentSince = 0;
+    MonotonicTime m_nextTableNotice;
+    Counter& m_tableNotices;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/internal/passthroughagent.cpp
+++ b/src/passthrough/internal/passthroughagent.cpp
@@ -177,6 +177,7 @@
         m_metrics.describe("answer_seconds", "time from a request to the first byte of its answer, by route");
         m_metrics.describe("opening_hold_seconds", "how long opening packets waited at the agent, by route");
         m_metrics.describe("load_notices_sent_total", "reports of busy or full servers sent to balancers");
+        m_metrics.describe("table_notices_sent_total", "reports of a newer configuration sent to balancers that acted by an older one");
         m_metrics.addGauge("openings_held", {}, [this] { return readOnLoop([this] { return static_cast<double>(m_waiting.size()); }); });
         addTableMetrics(m_metrics, m_fleet.tables(), m_clock);
         m_metrics.addGauge("server_outstanding", {}, [this] { return readOnLoop([this] { return static_cast<double>(m_load.outstanding()); }); });
--- a/src/passthrough/internal/passthroughbalancer.cpp
+++ b/src/passthrough/internal/passthroughbalancer.cpp
@@ -28,6 +28,7 @@
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <limits>
 #include <mutex>
 #include <thread>
@@ -43,6 +44,12 @@
 // flight.
 constexpr std::chrono::milliseconds drainDelay { 2200 };
 
+// Time within which a table must arrive that an agent has already. With the time for another stream, an agent's newer decision is
+// followed within rollback_slack_ms (250 ms) of the users' deployments.
+constexpr std::chrono::milliseconds newerTableTimeout { 100 };
+// Time that another controller has to send the table before the next one is tried.
+constexpr std::chrono::milliseconds controllerChangeInterval { 750 };
+
 LinkAdmissionOptions linkAdmissionOptions(const schema::PassThroughSettings& settings, const IPacketFormat& format)
 {
     constexpr double bytesPerMegabit = 1e6 / 8;
@@ -208,7 +215,8 @@
         dataplane::GeneveMessage message;
         const bool decoded = dataplane::decodeGeneve(datagram, message) == dataplane::PacketError::None;
         const bool hasNotice = decoded && m_usesLoadNotices && message.control && message.loadNotice;
-        if (!decoded || (!message.holder && !hasNotice)) {
+        const bool hasTableNotice = decoded && message.control && message.newerTableVersion;
+        if (!decoded || (!message.holder && !hasNotice && !hasTableNotice)) {
             ++m_metrics.counter("entry_malformed_total");
             return;
         }
@@ -217,6 +225,8 @@
             ++m_noticeCounter;
             logNotice(*message.loadNotice, message.serviceId);
         }
+        if (hasTableNotice)
+            onNewerTable(*message.newerTableVersion, table->version());
         const std::lock_guard lock(m_routerMutex);
         if (hasNotice)
             m_loadView.apply(*message.loadNotice, *table);
@@ -224,6 +234,23 @@
             m_router.learn(*message.holder, *table);
     }
 
+    // A table normally arrives within milliseconds of its arrival at agents. If it does not, the controller is silent.
+    void onNewerTable(std::uint64_t newerVersion, std::uint64_t version)
+    {
+        if (newerVersion <= version || m_waitsForNewerTable || m_clock.now() < m_nextControllerChange)
+            return;
+        m_waitsForNewerTable = true;
+        m_newerTableTimer.expires_after(newerTableTimeout);
+        m_newerTableTimer.async_wait([this, newerVersion](const boost::system::error_code& error) {
+            m_waitsForNewerTable = false;
+            if (error || m_fleet.tables().table()->version() >= newerVersion)
+                return;
+            m_nextControllerChange = m_clock.now() + controllerChangeInterval;
+            log(LogLevel::Warn, "stale_controller_left", { { .key = logkey::version, .value = std::to_string(m_fleet.tables().table()->version()) }, { .key = "newer_version", .value = std::to_string(newerVersion) } });
+            m_fleet.leaveStaleController(newerVersion);
+        });
+    }
+
     const schema::PassThroughSettings m_settings;
     const std::string m_zone;
     fleet::IFleetClient& m_fleet;
@@ -245,6 +272,10 @@
     asio::io_context m_loop { 1 };
     PacketSocket m_callerSocket;
     PacketSocket m_peerSocket;
+    asio::steady_timer m_newerTableTimer { m_loop };
+    // Whether the timer runs. Used on the event loop only.
+    bool m_waitsForNewerTable = false;
+    MonotonicTime m_nextControllerChange;
     // Indexed by EntryReason.
     std::array<Counter*, entryReasonCount> m_decisionCounters {};
     std::atomic<bool> m_shuttingDown { false };
--- a/src/passthrough/tests/fakefleet.h
+++ b/src/passthrough/tests/fakefleet.h
@@ -50,6 +50,20 @@
     bool renew(const schema::RenewRequest&) override { return true; }
     void leave(const fleet::Registration&, bool) override { }
 
+    void leaveStaleController(std::uint64_t newerVersion) override
+    {
+        const std::lock_guard lock(mutex);
+        newerVersions.push_back(newerVersion);
+        changed.notify_all();
+    }
+
+    // Waits until the client was told to leave its controller.
+    bool waitForNewerVersion(Duration timeout)
+    {
+        std::unique_lock lock(mutex);
+        return changed.wait_for(lock, timeout, [&] { return !newerVersions.empty(); });
+    }
+
     void interruptCalls() override
     {
         const std::lock_guard lock(mutex);
@@ -80,6 +94,8 @@
     std::set<std::string> unavailableNames;
     std::vector<std::string> announcedNames;
     int interruptions = 0;
+    // Arguments of leaveStaleController().
+    std::vector<std::uint64_t> newerVersions;
 };
 
 } // namespace clementinesill::passthrough
--- a/src/passthrough/tests/packetrelay.cpp
+++ b/src/passthrough/tests/packetrelay.cpp
@@ -126,13 +126,15 @@
         return packet;
     }
 
-    // Sends a SYN that has visited the other servers, and waits until it is held.
-    void holdSyn()
+    // Sends a SYN that a balancer has placed by a table of this version, and that has visited the other servers; waits until it is
+    // held.
+    void holdSyn(std::optional<std::uint64_t> tableVersion = std::nullopt)
     {
         dataplane::GeneveMessage message;
         message.serviceId = deskService;
         message.route = agent.lastSearch().route;
         message.route->balancer = balancer.endpoint();
+        message.route->tableVersion = tableVersion.value_or(message.route->tableVersion);
         message.visited = agent.lastSearch().visited;
         std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
         const auto length = dataplane::encodeGeneveHeader(message, header);
@@ -140,6 +142,19 @@
         runUntil([this] { return !agent.waiting.empty(); });
     }
 
+    // Version in the notices that the balancer has received; 0 if there is none.
+    std::uint64_t reportedTableVersion() const
+    {
+        std::uint64_t version = 0;
+        while (const auto bytes = balancer.receive()) {
+            dataplane::GeneveMessage message;
+            CHECK(dataplane::decodeGeneve(*bytes, message) == dataplane::PacketError::None);
+            if (message.control)
+                version = std::max(version, message.newerTableVersion.value_or(0));
+        }
+        return version;
+    }
+
     void runUntil(const std::function<bool()>& done)
     {
         for (int attempt = 0; !done() && attempt < 1000; ++attempt)
@@ -186,3 +201,17 @@
     const auto received = caller.receive();
     CHECK(received && format.decode(*received)->rst);
 }
+
+// Guards against a balancer that goes back behind a configuration whose effect was seen: its controller is silent, and agents with the
+// newer and with the older configuration take its packets in turn (review/8).
+TEST(PacketRelay, ReportsNewerConfigurationToBalancer)
+{
+    holdSyn(agent.table->version() - 1);
+    LONGS_EQUAL(agent.table->version(), reportedTableVersion());
+}
+
+TEST(PacketRelay, DoesNotReportNewerTableWithSameConfiguration)
+{
+    holdSyn(agent.table->version());
+    LONGS_EQUAL(0, reportedTableVersion());
+}
