Agents: a restarted agent admits no flow to a cold server for a second

Cause: ColdStartLimit counts the flows of the last second in memory, and a new agent began with none, whatever its predecessor had delivered.

Change: within the counted second after the construction the limit admits nothing to a cold server.

--- a/src/passthrough/coldstartlimit.h
+++ b/src/passthrough/coldstartlimit.h
@@ -16,6 +16,7 @@
     ColdStartLimit(const IClock& clock, const ColdStartLimitOptions& options)
         : m_clock(clock)
         , m_options(options)
+        , m_countedSince(clock.now())
     {
     }
 
@@ -31,7 +32,8 @@
 
     bool isCold() const { return m_clock.now() < m_coldUntil || m_clock.now() < m_assumedColdUntil; }
 
-    // Returns whether one more flow is within the limit. flowsPerSecond is the rate of a cold server; 0 means no limit.
+    // Returns whether one more flow is within the limit. flowsPerSecond is the rate of a cold server; 0 means no limit. Within a second
+    // after the construction no flow is, since the flows that an earlier process has delivered are not known.
     bool allows(double flowsPerSecond);
 
     // Called for each new flow delivered to the server.
@@ -42,6 +44,7 @@
 
     const IClock& m_clock;
     ColdStartLimitOptions m_options;
+    MonotonicTime m_countedSince;
     MonotonicTime m_coldUntil;
     MonotonicTime m_assumedColdUntil;
     std::deque<MonotonicTime> m_flowStarts;
--- a/src/passthrough/internal/coldstartlimit.cpp
+++ b/src/passthrough/internal/coldstartlimit.cpp
@@ -13,6 +13,8 @@
 {
     if (!isCold() || flowsPerSecond <= 0)
         return true;
+    if (m_clock.now() - m_countedSince < windowLength)
+        return false;
     discardExpired();
     const auto limit = flowsPerSecond * m_options.factor + m_options.extraFlows;
     return static_cast<double>(m_flowStarts.size()) + 1 <= limit;
--- a/src/passthrough/tests/coldstartlimit.cpp
+++ b/src/passthrough/tests/coldstartlimit.cpp
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <deque>
+#include <optional>
 #include <rapidcheck.h>
 
 using namespace clementinesill;
@@ -51,6 +52,33 @@
     }));
 }
 
+// Guards against an agent that is restarted and lets a cold server get its whole rate once more (review/10).
+TEST(ColdStartLimit, FlowsWithinAnySecondStayWithinLimitAcrossRestartsOfAgent)
+{
+    CHECK(rc::check("any one-second window, restarts at random times, killed or stopped", [](std::uint8_t rate, std::uint64_t seed) {
+        SeededRandom random(seed);
+        ManualClock clock;
+        std::optional<ColdStartLimit> limit;
+        std::deque<MonotonicTime> flowStarts;
+        const auto end = clock.now() + std::chrono::seconds(10);
+        while (clock.now() < end) {
+            if (!limit || random.below(50) == 0) {
+                clock.advance(std::chrono::milliseconds(random.below(500)));
+                limit.emplace(clock, ColdStartLimitOptions { .factor = 1.5, .extraFlows = 5 });
+                limit->setColdFor(std::chrono::seconds(20));
+            }
+            clock.advance(std::chrono::milliseconds(random.below(40)) + std::chrono::microseconds(100));
+            if (!limit->allows(rate))
+                continue;
+            limit->recordFlow();
+            flowStarts.push_back(clock.now());
+            while (flowStarts.front() + std::chrono::seconds(1) <= clock.now())
+                flowStarts.pop_front();
+            RC_ASSERT(!rate || flowStarts.size() <= rate * 1.5 + 5);
+        }
+    }));
+}
+
 TEST(ColdStartLimit, HeartbeatDoesNotShortenAssumedColdTime)
 {
     limit.assumeCold(std::chrono::seconds(2));
