Controllers: bound the history of table versions by bytes

Cause: TableHistory keeps 4,096 versions, each with the name of every changed route, whose number operators choose.

Change: the history holds at most 16 MiB as well; a daemon that is further behind gets the whole table.

Tests: TableHistory: 2,000 changes of 1,290 routes stay within the limit, and what is held is complete.

--- a/src/control/internal/fleetstate.cpp
+++ b/src/control/internal/fleetstate.cpp
@@ -15,8 +15,6 @@
 // Requests whose response is kept for retries; exceeds the number of configuration changes in a day.
 constexpr std::size_t requestHistoryLimit = 8192;
 constexpr std::size_t eventLimit = 2048;
-// Number of versions that a daemon can be behind and still receive a delta instead of the whole table.
-constexpr std::size_t tableHistoryLimit = 4096;
 // Services kept that the configuration no longer names and that have no server in the table; those with the lowest ids are evicted
 // first. A server that was cut off returns under the same ids.
 constexpr std::size_t retiredServiceLimit = 256;
@@ -43,7 +41,6 @@
 
 FleetState::FleetState()
     : m_requestHistory(requestHistoryLimit)
-    , m_tableHistory(tableHistoryLimit)
 {
 }
 
--- a/src/control/internal/tablehistory.cpp
+++ b/src/control/internal/tablehistory.cpp
@@ -1,7 +1,26 @@
 #include "control/tablehistory.h"
 
+#include <numeric>
+
 namespace clementinesill::control {
 
+namespace {
+
+// Memory of a node of a std::set apart from its value.
+constexpr std::size_t nodeBytes = 48;
+
+std::size_t bytesOf(const std::set<std::string>& names)
+{
+    return std::accumulate(names.begin(), names.end(), std::size_t { 0 }, [](auto sum, const auto& name) { return sum + nodeBytes + sizeof(name) + name.capacity(); });
+}
+
+} // namespace
+
+std::size_t TableChange::bytes() const
+{
+    return sizeof(TableChange) + (services.size() + servers.size()) * nodeBytes + bytesOf(zones) + bytesOf(routes);
+}
+
 void TableChange::merge(const TableChange& other)
 {
     services.insert(other.services.begin(), other.services.end());
@@ -15,9 +34,15 @@
 {
     if (version != m_baseVersion + m_changes.size() + 1)
         reset(version - 1);
+    m_bytes += change.bytes();
     m_changes.push_back(std::move(change));
-    if (m_changes.size() <= m_limit)
-        return;
+    while (m_changes.size() > m_options.maxVersions || m_bytes > m_options.maxBytes)
+        discardOldest();
+}
+
+void TableHistory::discardOldest()
+{
+    m_bytes -= m_changes.front().bytes();
     m_changes.pop_front();
     ++m_baseVersion;
 }
@@ -36,6 +61,7 @@
 {
     m_baseVersion = version;
     m_changes.clear();
+    m_bytes = 0;
 }
 
 } // namespace clementinesill::control
--- a/src/control/tablehistory.h
+++ b/src/control/tablehistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/types/tablechange.h"
+#include "control/types/tablehistoryoptions.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -11,14 +12,17 @@
 
 namespace clementinesill::control {
 
-// Changes of the most recent table versions.
+// Changes of the most recent table versions, within limits of their number and their memory.
 class TableHistory {
 public:
-    explicit TableHistory(std::size_t limit)
-        : m_limit(limit)
+    explicit TableHistory(const TableHistoryOptions& options = {})
+        : m_options(options)
     {
     }
 
+    // Approximate memory of the changes, in bytes.
+    std::size_t bytes() const { return m_bytes; }
+
     // Adds the change that created the version. A version that does not follow the previous one clears the history first.
     void push(std::uint64_t version, TableChange change);
 
@@ -29,7 +33,10 @@
     void reset(std::uint64_t version);
 
 private:
-    std::size_t m_limit;
+    void discardOldest();
+
+    TableHistoryOptions m_options;
+    std::size_t m_bytes = 0;
     // Version before the oldest change in the history.
     std::uint64_t m_baseVersion = 0;
     std::deque<TableChange> m_changes;
--- a/src/control/types/tablechange.h
+++ b/src/control/types/tablechange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -17,6 +18,8 @@
 
     bool empty() const { return services.empty() && zones.empty() && servers.empty() && routes.empty() && !document; }
     void merge(const TableChange& other);
+    // Approximate memory, in bytes.
+    std::size_t bytes() const;
 };
 
 } // namespace clementinesill::control
