--- a/src/control/internal/membershipplanner.cpp
+++ b/src/control/internal/membershipplanner.cpp
@@ -102,24 +102,15 @@
 std::optional<MembershipChange> MembershipPlanner::replaceSilentMembers(const GroupState& group) const
 {
     const auto& members = group.members;
-    const bool isForming = static_cast<int>(members.size()) < m_options.maxMembers && !isReduced(group);
-    const bool hasNewLearner = std::any_of(group.learners.begin(), group.learners.end(), [&](const auto& learner) { return !isMember(members, learner); });
-    const bool mayShrink = exceedsRegularSize(group) || group.removedMemberMayReturn;
-    if (isForming || !(hasNewLearner || mayShrink) || !isEachMemberKnown(members))
+    if (isForming(group) || !isEachMemberKnown(members))
         return std::nullopt;
     auto change = changeWithout(
         members, [](const auto& state) { return state.isSilent; }, "it does not respond, and the others are enough");
-    for (const auto& learner : group.learners) {
-        if (change.membership.members_size() == largestSize())
-            break;
-        if (!isMember(members, learner))
-            admit(change, learner);
-    }
+    admitNewLearners(change, group);
     const auto size = change.membership.members_size();
-    if (change.removed.empty() || size < smallestSize())
+    if (change.removed.empty() || size < smallestSize() || (change.added.empty() && !mayShrink(group)))
         return std::nullopt;
-    // There is a place for a removed member that returns. Without a learner, a short pause of two members must not halve the losses
-    // that the group tolerates.
+    // A removed member that returns soon finds a place. Without a learner, a short pause of two must not reduce the group to four.
     const bool mayReplaceAtOnce = m_options.spareMembers && (size >= m_options.maxMembers || !change.added.empty());
     if (!mayReplaceAtOnce && !hasMember(members, &MemberState::isAbsent) && !group.removedMemberMayReturn)
         return std::nullopt;
@@ -128,15 +119,22 @@
     return change;
 }
 
+void MembershipPlanner::admitNewLearners(MembershipChange& change, const GroupState& group) const
+{
+    for (const auto& learner : group.learners) {
+        if (change.membership.members_size() < largestSize() && !isMember(group.members, learner))
+            admit(change, learner);
+    }
+}
+
 // A group of regular size or a reduced one grows only while all members respond; otherwise the learner replaces the silent ones.
 std::optional<MembershipChange> MembershipPlanner::admitLearner(const GroupState& group) const
 {
     const auto& members = group.members;
     const auto& learners = group.learners;
     const auto learner = std::find_if(learners.begin(), learners.end(), [&](const auto& candidate) { return !isMember(members, candidate); });
-    const auto size = static_cast<int>(members.size());
-    const bool isForming = size < m_options.maxMembers && !isReduced(group);
-    if (learner == learners.end() || size >= largestSize() || !(isForming || allRespond(members)))
+    const bool isFull = static_cast<int>(members.size()) >= largestSize();
+    if (learner == learners.end() || isFull || !(isForming(group) || allRespond(members)))
         return std::nullopt;
     auto change = changeWithout(
         members, [](const auto&) { return false; }, {});
--- a/src/control/membershipplanner.h
+++ b/src/control/membershipplanner.h
@@ -31,6 +31,12 @@
     std::optional<MembershipChange> removeLostDataFolder(const GroupState& group) const;
     std::optional<MembershipChange> replaceSilentMembers(const GroupState& group) const;
     std::optional<MembershipChange> admitLearner(const GroupState& group) const;
+    // Adds learners that have not been members until the group has its largest size.
+    void admitNewLearners(MembershipChange& change, const GroupState& group) const;
+    // Whether silent members may be removed though no learner takes their places.
+    bool mayShrink(const GroupState& group) const { return exceedsRegularSize(group) || group.removedMemberMayReturn; }
+    // Whether the group has not had its regular size yet.
+    bool isForming(const GroupState& group) const { return static_cast<int>(group.members.size()) < m_options.maxMembers && !isReduced(group); }
     bool exceedsRegularSize(const GroupState& group) const { return static_cast<int>(group.members.size()) > m_options.maxMembers; }
     int largestSize() const { return m_options.maxMembers + m_options.spareMembers; }
     // A group with spare members may lack one: commits take as many members as in a group of regular size, which is odd.
