Agents: report a newer configuration to each balancer that lacks it

Cause: an agent sent one table notice in 20 ms, whatever balancer it was for. The packets of the callers come in step, and those of another balancer took the notice each time just before.

Change: no limit. A notice answers one SYN that was placed by an older configuration.

Test: PacketRelay.ReportsNewerConfigurationToEachBalancer fails before the change.

--- a/src/passthrough/internal/packetrelay.cpp
+++ b/src/passthrough/internal/packetrelay.cpp
@@ -30,8 +30,6 @@
 constexpr std::size_t pendingCapacity = 2048;
 // Packets that wait at the same time for the leader to confirm the table.
 constexpr std::size_t unconfirmedCapacity = 512;
-// Bounds the notices while balancers lag.
-constexpr std::chrono::milliseconds tableNoticeInterval { 20 };
 
 } // namespace
 
@@ -217,10 +215,8 @@
 // The balancer chose by an older configuration. Its controller may be silent, while agents act by the newer one already.
 void PacketRelay::reportNewerTable(const Search& search)
 {
-    const auto now = m_options.clock.now();
-    if (!search.route.balancer.port || search.route.tableVersion >= m_documentSince || now < m_nextTableNotice)
+    if (!search.route.balancer.port || search.route.tableVersion >= m_documentSince)
         return;
-    m_nextTableNotice = now + tableNoticeInterval;
     dataplane::GeneveMessage message;
     message.serviceId = search.route.serviceId;
     message.control = true;
--- a/src/passthrough/internal/packetrelay.h
+++ b/src/passthrough/internal/packetrelay.h
@@ -81,7 +81,6 @@
     // Version of the configuration, and of the first table that was seen with it.
     std::optional<std::uint64_t> m_documentVersion;
     std::uint64_t m_documentSince = 0;
-    MonotonicTime m_nextTableNotice;
     Counter& m_tableNotices;
 };
 
--- a/src/passthrough/tests/packetrelay.cpp
+++ b/src/passthrough/tests/packetrelay.cpp
@@ -119,9 +119,9 @@
         relay.start();
     }
 
-    FlowPacket syn() const
+    FlowPacket syn(std::uint16_t port = 1) const
     {
-        auto packet = synPacket(1);
+        auto packet = synPacket(port);
         packet.key.caller.address = callerAddress;
         return packet;
     }
@@ -129,24 +129,31 @@
     // Sends a SYN that a balancer has placed by a table of this version, and that has visited the other servers; waits until it is
     // held.
     void holdSyn(std::optional<std::uint64_t> tableVersion = std::nullopt)
+    {
+        sendSyn(balancer, syn(), tableVersion);
+        runUntil([this] { return !agent.waiting.empty(); });
+    }
+
+    void sendSyn(const TestSocket& from, const FlowPacket& packet, std::optional<std::uint64_t> tableVersion)
     {
         dataplane::GeneveMessage message;
         message.serviceId = deskService;
         message.route = agent.lastSearch().route;
-        message.route->balancer = balancer.endpoint();
+        message.route->balancer = from.endpoint();
         message.route->tableVersion = tableVersion.value_or(message.route->tableVersion);
         message.visited = agent.lastSearch().visited;
         std::array<std::byte, dataplane::maximumGeneveHeaderBytes> header;
         const auto length = dataplane::encodeGeneveHeader(message, header);
-        balancer.send(std::span(header).first(length), RawFormat::encode(syn()), daemonEndpoint);
-        runUntil([this] { return !agent.waiting.empty(); });
+        from.send(std::span(header).first(length), RawFormat::encode(packet), daemonEndpoint);
     }
 
     // Version in the notices that the balancer has received; 0 if there is none.
-    std::uint64_t reportedTableVersion() const
+    std::uint64_t reportedTableVersion() const { return reportedTableVersion(balancer); }
+
+    static std::uint64_t reportedTableVersion(const TestSocket& receiver)
     {
         std::uint64_t version = 0;
-        while (const auto bytes = balancer.receive()) {
+        while (const auto bytes = receiver.receive()) {
             dataplane::GeneveMessage message;
             CHECK(dataplane::decodeGeneve(*bytes, message) == dataplane::PacketError::None);
             if (message.control)
@@ -210,6 +217,18 @@
     LONGS_EQUAL(agent.table->version(), reportedTableVersion());
 }
 
+// Guards against a balancer that gets no notice because the packets of another one arrive just before its own.
+TEST(PacketRelay, ReportsNewerConfigurationToEachBalancer)
+{
+    const TestSocket otherBalancer { { .address = loopback, .port = 0 } };
+    const auto older = agent.table->version() - 1;
+    sendSyn(balancer, syn(1), older);
+    sendSyn(otherBalancer, syn(2), older);
+    runUntil([this] { return agent.waiting.size() == 2; });
+    LONGS_EQUAL(agent.table->version(), reportedTableVersion(balancer));
+    LONGS_EQUAL(agent.table->version(), reportedTableVersion(otherBalancer));
+}
+
 TEST(PacketRelay, DoesNotReportNewerTableWithSameConfiguration)
 {
     holdSyn(agent.table->version());
