Membership planner and tests: remove what can be derived or stood twice

MembershipChange::reducesGroup followed from removesSilentMembers and the size; the general hasMember(flag) had one caller and replaced hasAbsentMember, which was there before. GroupLimits searched for an unused controller although they are used in order. Two tests of GrpcFleetClient had the same wait. No decision, draw, bound or assertion changes.

--- a/src/control/internal/membershipplanner.cpp
+++ b/src/control/internal/membershipplanner.cpp
@@ -9,11 +9,9 @@
 
 using Members = std::vector<MemberState>;
 
-using MemberFlag = bool MemberState::*;
-
-bool hasMember(const Members& members, MemberFlag flag)
+bool hasAbsentMember(const Members& members)
 {
-    return std::any_of(members.begin(), members.end(), [&](const auto& state) { return state.*flag; });
+    return std::any_of(members.begin(), members.end(), [](const auto& state) { return state.isAbsent; });
 }
 
 bool allRespond(const Members& members)
@@ -59,7 +57,9 @@
     constexpr std::array<Step, 4> steps { &MembershipPlanner::replaceDataFolder, &MembershipPlanner::removeLostDataFolder, &MembershipPlanner::replaceSilentMembers, &MembershipPlanner::admitLearner };
     for (const auto step : steps) {
         if (auto change = (this->*step)(group)) {
-            change->membership.set_half_may_decide(halfMayDecide(change->membership.members_size(), isReduced(group) || change->reducesGroup));
+            const auto size = change->membership.members_size();
+            const bool reducesGroup = change->removesSilentMembers && size < m_options.maxMembers;
+            change->membership.set_half_may_decide(halfMayDecide(size, isReduced(group) || reducesGroup));
             change->membership.set_removed_members_may_return(change->removesSilentMembers || group.removedMemberMayReturn);
             return change;
         }
@@ -112,9 +112,8 @@
         return std::nullopt;
     // A removed member that returns soon finds a place. Without a learner, a short pause of two must not reduce the group to four.
     const bool mayReplaceAtOnce = m_options.spareMembers && (size >= m_options.maxMembers || !change.added.empty());
-    if (!mayReplaceAtOnce && !hasMember(members, &MemberState::isAbsent) && !group.removedMemberMayReturn)
+    if (!mayReplaceAtOnce && !hasAbsentMember(members) && !group.removedMemberMayReturn)
         return std::nullopt;
-    change.reducesGroup = size < m_options.maxMembers;
     change.removesSilentMembers = true;
     return change;
 }
--- a/src/control/tests/grouplimits.cpp
+++ b/src/control/tests/grouplimits.cpp
@@ -141,21 +141,13 @@
 
     void startLater(std::size_t index, Duration delay) { m_controllers[index] = { .inUse = true, .startsAt = m_group.clock.now() + delay }; }
 
-    std::optional<std::size_t> unusedController() const
-    {
-        const auto unused = std::find_if(m_controllers.begin() + static_cast<std::ptrdiff_t>(m_used), m_controllers.end(), [](const auto& controller) { return !controller.inUse; });
-        return unused == m_controllers.end() ? std::nullopt : std::optional(static_cast<std::size_t>(unused - m_controllers.begin()));
-    }
+    bool hasUnusedController() const { return m_used < m_controllers.size(); }
 
-    void startSuccessor(Duration delay)
-    {
-        startLater(*unusedController(), delay);
-        ++m_used;
-    }
+    void startSuccessor(Duration delay) { startLater(m_used++, delay); }
 
     void removeForGood(std::size_t index)
     {
-        if (!unusedController())
+        if (!hasUnusedController())
             return;
         startSuccessor(below(4) ? randomDuration(seconds(2)) : randomDuration(seconds(20)));
         end(index, below(2));
@@ -189,7 +181,7 @@
 
     void replaceAsPlanned(std::size_t index)
     {
-        if (m_plannedRemoval || !unusedController())
+        if (m_plannedRemoval || !hasUnusedController())
             return;
         startSuccessor(Duration::zero());
         m_plannedRemoval = index;
@@ -266,6 +258,7 @@
     DiscoveredGroup m_group;
     std::vector<Controller> m_controllers;
     std::array<bool, regularControllers + spareControllers> m_wasRunning {};
+    // Controllers that are or were in use are those before this index.
     std::size_t m_used = regularControllers;
     std::optional<std::size_t> m_plannedRemoval;
     MonotonicTime m_plannedRemovalTime;
--- a/src/control/types/membershipchange.h
+++ b/src/control/types/membershipchange.h
@@ -16,8 +16,6 @@
     std::string reason;
     // Members are removed because they do not respond; they may return.
     bool removesSilentMembers = false;
-    // The group becomes smaller than its regular size because silent members are removed.
-    bool reducesGroup = false;
 };
 
 } // namespace clementinesill::control
--- a/src/fleet/tests/grpcfleetclient.cpp
+++ b/src/fleet/tests/grpcfleetclient.cpp
@@ -27,6 +27,14 @@
 // Number of streams that time out; on each, a late update may arrive while the client closes the stream.
 constexpr int timedOutStreams = 25;
 
+void waitForVersion(fleet::GrpcFleetClient& client, std::uint64_t version)
+{
+    const auto deadline = std::chrono::steady_clock::now() + waitTimeout;
+    while (client.tables().table()->version() < version && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    LONGS_EQUAL(version, client.tables().table()->version());
+}
+
 } // namespace
 
 // clang-format off
@@ -106,17 +114,11 @@
     fleet::GrpcFleetClient client(settings, [&] {
         return changed ? std::vector { watched.endpoint(), alsoSilent.endpoint(), upToDate.endpoint() } : std::vector { watched.endpoint() };
     });
-    const auto waitForVersion = [&](std::uint64_t version) {
-        const auto deadline = std::chrono::steady_clock::now() + waitTimeout;
-        while (client.tables().table()->version() < version && std::chrono::steady_clock::now() < deadline)
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        LONGS_EQUAL(version, client.tables().table()->version());
-    };
     client.start();
-    waitForVersion(1);
+    waitForVersion(client, 1);
     changed = true;
     const auto accepted = std::chrono::steady_clock::now();
-    waitForVersion(2);
+    waitForVersion(client, 2);
     const auto elapsed = std::chrono::steady_clock::now() - accepted;
     client.stop();
     CHECK(elapsed < propagationBound);
@@ -135,18 +137,12 @@
     fleet::GrpcFleetClient client(settings, [&] {
         return changed ? std::vector { silent.endpoint(), upToDate.endpoint() } : std::vector { silent.endpoint() };
     });
-    const auto waitForVersion = [&](std::uint64_t version) {
-        const auto deadline = std::chrono::steady_clock::now() + waitTimeout;
-        while (client.tables().table()->version() < version && std::chrono::steady_clock::now() < deadline)
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        LONGS_EQUAL(version, client.tables().table()->version());
-    };
     client.start();
-    waitForVersion(1);
+    waitForVersion(client, 1);
     changed = true;
     const auto reported = std::chrono::steady_clock::now();
     client.leaveStaleController(2);
-    waitForVersion(2);
+    waitForVersion(client, 2);
     const auto elapsed = std::chrono::steady_clock::now() - reported;
     client.stop();
     CHECK(elapsed < fleet::watchLease);
