Agents: one function sends control messages to balancers

The load notice, the holder notification and the new table notice each checked the balancer's endpoint and filled in the same fields. Only a load notice for a packet without a balancer is now made before it is dropped.

Checked: the tests of src/passthrough pass.

--- a/src/passthrough/internal/packetrelay.cpp
+++ b/src/passthrough/internal/packetrelay.cpp
@@ -197,32 +197,26 @@
 
 void PacketRelay::reportLoad(const RelayDecision& decision, const Search& search, const FlowPacket& packet)
 {
-    if (!search.route.balancer.port)
-        return;
     const auto table = m_options.tables.table();
     const auto* route = table->route(packet.key.service);
     const auto notice = makeLoadNotice(decision, search, packet, m_serverId, route ? route->priority : 0);
     if (!notice)
         return;
     dataplane::GeneveMessage message;
-    message.serviceId = search.route.serviceId;
-    message.control = true;
     message.loadNotice = notice;
-    m_daemonSocket.send(message, {}, search.route.balancer);
-    ++m_loadNotices;
+    if (sendToBalancer(search, message))
+        ++m_loadNotices;
 }
 
 // The balancer chose by an older configuration. Its controller may be silent, while agents act by the newer one already.
 void PacketRelay::reportNewerTable(const Search& search)
 {
-    if (!search.route.balancer.port || search.route.tableVersion >= m_documentSince)
+    if (search.route.tableVersion >= m_documentSince)
         return;
     dataplane::GeneveMessage message;
-    message.serviceId = search.route.serviceId;
-    message.control = true;
     message.newerTableVersion = m_documentSince;
-    m_daemonSocket.send(message, {}, search.route.balancer);
-    ++m_tableNotices;
+    if (sendToBalancer(search, message))
+        ++m_tableNotices;
 }
 
 void PacketRelay::recordDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet)
@@ -297,13 +291,19 @@
 
 void PacketRelay::notifyBalancer(const Search& search, const fleet::FlowKey& key)
 {
-    if (!search.route.balancer.port)
-        return;
     dataplane::GeneveMessage notification;
-    notification.serviceId = search.route.serviceId;
-    notification.control = true;
     notification.holder = dataplane::FlowHolder { .key = key, .serverId = m_serverId, .incarnation = m_incarnation };
-    m_daemonSocket.send(notification, {}, search.route.balancer);
+    sendToBalancer(search, notification);
+}
+
+bool PacketRelay::sendToBalancer(const Search& search, dataplane::GeneveMessage& message)
+{
+    if (!search.route.balancer.port)
+        return false;
+    message.serviceId = search.route.serviceId;
+    message.control = true;
+    m_daemonSocket.send(message, {}, search.route.balancer);
+    return true;
 }
 
 void PacketRelay::sendToCaller(const fleet::FlowKey& flow, std::span<const std::byte> bytes)
--- a/src/passthrough/internal/packetrelay.h
+++ b/src/passthrough/internal/packetrelay.h
@@ -56,6 +56,8 @@
     void reportLoad(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
     void reportNewerTable(const Search& search);
     void notifyBalancer(const Search& search, const fleet::FlowKey& key);
+    // Completes the control message and sends it to the balancer that placed the packet; false if there is none.
+    bool sendToBalancer(const Search& search, dataplane::GeneveMessage& message);
     void recordDecision(const RelayDecision& decision, const Search& search, const FlowPacket& packet);
     RelayDecisionContext decisionContext(const FlowPacket& packet) const;
     void sendToCaller(const fleet::FlowKey& flow, std::span<const std::byte> bytes);
